--- /dev/null
+++ b/include/drumlanding/base/clock.h
@@ -0,0 +1,60 @@
+/// Clock: the only source of time. Programs use the system's clock, tests and
+/// benches a virtual one.
+///
+///   ManualClock clock;
+///   clock.advance(std::chrono::milliseconds(5));
+#pragma once
+
+#include <chrono>
+
+namespace drumlanding::base {
+
+using Duration = std::chrono::nanoseconds;
+using Instant = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+using WallTime = std::chrono::sys_time<std::chrono::milliseconds>;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+/// The two times of one moment: `Steady` for waits, `Wall` for deadlines that
+/// travel between VMs.
+struct Now {
+  Instant Steady;
+  WallTime Wall;
+};
+
+/// Tells the time.
+class Clock {
+public:
+  virtual ~Clock() = default;
+  virtual Now now() const = 0;
+};
+
+/// The operating system's clocks.
+class SystemClock final : public Clock {
+public:
+  Now now() const override;
+};
+
+/// A clock that moves only when told to. Not thread-safe.
+class ManualClock final : public Clock {
+public:
+  Now now() const override { return Current; }
+  void advance(Duration by) {
+    Current.Steady += by;
+    Elapsed += by;
+    Current.Wall = Epoch + std::chrono::duration_cast<milliseconds>(Elapsed);
+  }
+
+private:
+  /// An arbitrary fixed moment, so that runs repeat exactly.
+  static constexpr WallTime Epoch{milliseconds(1'750'000'000'000)};
+  Duration Elapsed{0};
+  Now Current{Instant(std::chrono::hours(1)), Epoch};
+};
+
+/// Returns `d` in whole milliseconds, rounded down.
+inline std::int64_t toMs(Duration d) {
+  return std::chrono::duration_cast<milliseconds>(d).count();
+}
+
+} // namespace drumlanding::base
--- /dev/null
+++ b/include/drumlanding/base/hash.h
@@ -0,0 +1,44 @@
+/// Hashes and random numbers: fast ones for decisions, libsodium's for ids.
+///
+///   std::uint64_t h = hash64("tutor-llm", seed);
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace drumlanding::base {
+
+/// Returns xxHash's 64-bit hash: the same in every process and release.
+std::uint64_t hash64(std::string_view text, std::uint64_t seed = 0);
+
+/// Mixes two numbers into one (a finaliser; for rendezvous ranks).
+constexpr std::uint64_t mix64(std::uint64_t a, std::uint64_t b) {
+  std::uint64_t x = a ^ (b * 0x9e3779b97f4a7c15ULL);
+  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+  return x ^ (x >> 31);
+}
+
+/// A small seeded generator whose sequence never changes (splitmix64).
+class Random {
+public:
+  explicit Random(std::uint64_t seed) : State(seed) {}
+  std::uint64_t next() { return mix64(State += 0x9e3779b97f4a7c15ULL, 1); }
+  /// Returns a number below `limit`, which must not be 0.
+  std::uint64_t below(std::uint64_t limit) { return next() % limit; }
+  /// Returns a number in [0, 1).
+  double unit() { return static_cast<double>(next() >> 11) * 0x1.0p-53; }
+  bool chance(double probability) { return unit() < probability; }
+
+private:
+  std::uint64_t State;
+};
+
+/// Returns unpredictable bytes, for ids and seeds.
+std::uint64_t secureRandom64();
+
+/// Returns 32 hexadecimal digits that nobody can guess.
+std::string randomId();
+
+} // namespace drumlanding::base
--- /dev/null
+++ b/include/drumlanding/base/log.h
@@ -0,0 +1,52 @@
+/// Logs: short sentences with a fixed prefix for each part of a program.
+///
+///   const Log log("entry.route");
+///   log.info("route request={} server={}", id, server);
+#pragma once
+
+#include <spdlog/fmt/fmt.h>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace drumlanding::base {
+
+enum class LogLevel { Debug, Info, Warning, Error };
+enum class LogFormat { Text, JsonLines };
+
+/// Sets the lowest level shown and the format of lines on standard error.
+void setUpLogs(LogLevel lowest, LogFormat format);
+
+/// The log of one part; cheap to copy.
+class Log {
+public:
+  explicit Log(std::string part) : Part(std::move(part)) {}
+
+  template <typename... Args>
+  void debug(fmt::format_string<Args...> text, Args &&...args) const {
+    if (isShown(LogLevel::Debug))
+      write(LogLevel::Debug, fmt::format(text, std::forward<Args>(args)...));
+  }
+  template <typename... Args>
+  void info(fmt::format_string<Args...> text, Args &&...args) const {
+    if (isShown(LogLevel::Info))
+      write(LogLevel::Info, fmt::format(text, std::forward<Args>(args)...));
+  }
+  template <typename... Args>
+  void warn(fmt::format_string<Args...> text, Args &&...args) const {
+    if (isShown(LogLevel::Warning))
+      write(LogLevel::Warning, fmt::format(text, std::forward<Args>(args)...));
+  }
+  template <typename... Args>
+  void error(fmt::format_string<Args...> text, Args &&...args) const {
+    write(LogLevel::Error, fmt::format(text, std::forward<Args>(args)...));
+  }
+
+private:
+  static bool isShown(LogLevel level);
+  void write(LogLevel level, std::string_view sentence) const;
+
+  std::string Part;
+};
+
+} // namespace drumlanding::base
--- /dev/null
+++ b/include/drumlanding/base/metrics.h
@@ -0,0 +1,46 @@
+/// Metrics: prometheus-cpp counters and gauges by name.
+///
+///   Metrics metrics;
+///   metrics.count("drumlanding_requests_total", {{"verdict", "ran"}});
+///   std::string page = metrics.text();
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace drumlanding::base {
+
+using MetricLabels = std::map<std::string, std::string>;
+
+/// The metrics of one process. Thread-safe.
+class Metrics {
+public:
+  Metrics();
+  ~Metrics();
+  Metrics(const Metrics &) = delete;
+  Metrics &operator=(const Metrics &) = delete;
+
+  /// Adds `by` to a counter. The name must be in the list in metrics.cc, which
+  /// gives its help text.
+  void count(std::string_view name, const MetricLabels &labels = {},
+             double by = 1);
+
+  /// Sets a gauge.
+  void set(std::string_view name, double value,
+           const MetricLabels &labels = {});
+
+  /// Adds a time in seconds to a histogram.
+  void observe(std::string_view name, double seconds);
+
+  /// Returns the page in Prometheus' text format. Also refreshes the gauges of
+  /// invariants, memory and processor time.
+  std::string text();
+
+private:
+  struct State;
+  std::unique_ptr<State> S;
+};
+
+} // namespace drumlanding::base
--- /dev/null
+++ b/include/drumlanding/entry/core.h
@@ -0,0 +1,346 @@
+/// Entry core: takes callers' requests, chooses backend servers and delivers
+/// answers. Deterministic, without I/O or threads: events and the time go in,
+/// commands come out.
+///
+///   Core core(options);
+///   for (const Command &c : core.handle(now, GenerationAsked{...}))
+///     execute(c);
+#pragma once
+
+#include "control.pb.h"
+#include "drumlanding/base/clock.h"
+#include "drumlanding/base/hash.h"
+#include "drumlanding/base/result.h"
+#include "drumlanding/base/settings.h"
+#include "drumlanding/base/verdict.h"
+#include "drumlanding/entry/limits.h"
+#include "drumlanding/entry/router.h"
+#include "drumlanding/plan/document-store.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+namespace drumlanding::entry {
+
+/// Names a caller's connection and its one request.
+using SessionId = std::uint64_t;
+/// Names a message to a peer that waits for its reply.
+using MessageId = std::uint64_t;
+
+// Events.
+
+/// A caller asks for a generation.
+struct GenerationAsked {
+  SessionId Session = 0;
+  std::string Credential;
+  std::string Model;
+  /// Empty for any version and no adapter.
+  std::string Version;
+  std::string Adapter;
+  std::string Prompt;
+  std::uint32_t MaxTokens = 0;
+  /// False when the caller wants it tried at most once.
+  bool Repeatable = true;
+};
+/// A caller comes back for a stream, with the index of its next token.
+struct ResumeAsked {
+  SessionId Session = 0;
+  std::string Credential;
+  std::string RequestId;
+  std::uint32_t NextIndex = 0;
+};
+struct CancelAsked {
+  SessionId Session = 0;
+  std::string Credential;
+  std::string RequestId;
+};
+/// A caller calls a plain service.
+struct CallAsked {
+  SessionId Session = 0;
+  std::string Credential;
+  std::string Service;
+  std::string Method;
+  std::string Path;
+  std::string Body;
+  bool Repeatable = false;
+  /// Calls that may not be repeated: the caller's key and the time in it.
+  std::string Key;
+  base::WallTime KeyTime{};
+};
+struct SessionClosed {
+  SessionId Session = 0;
+};
+struct ReplyArrived {
+  MessageId Message = 0;
+  base::Result<wire::Reply> Reply;
+};
+/// A message from another entry.
+struct PeerAsked {
+  std::uint64_t Reply = 0;
+  wire::Request Message;
+};
+/// One VM of the platform's list.
+struct ListedVm {
+  std::string Name;
+  /// "entry" or "agent".
+  std::string Role;
+  std::string Service;
+  std::string Place;
+  base::Endpoint Control;
+  bool IsLeaving = false;
+};
+struct VmsListed {
+  std::vector<ListedVm> Vms;
+};
+/// A document came from the platform's key-value service.
+struct DocumentRead {
+  wire::DocumentKind Kind = wire::BUNDLE;
+  std::string Body;
+};
+struct LeaveOrdered {};
+struct Tick {};
+
+using Event = std::variant<GenerationAsked, ResumeAsked, CancelAsked, CallAsked,
+                           SessionClosed, ReplyArrived, PeerAsked, VmsListed,
+                           DocumentRead, LeaveOrdered, Tick>;
+
+// Commands.
+
+struct SendMessage {
+  MessageId Message = 0;
+  std::string Peer;
+  base::Endpoint To;
+  wire::Request Request;
+  base::milliseconds Timeout{0};
+};
+struct ReplyToPeer {
+  std::uint64_t Reply = 0;
+  wire::Reply Message;
+};
+/// The stream begins: its id can be used to resume it.
+struct BeginStream {
+  SessionId Session = 0;
+  std::string RequestId;
+};
+struct DeliverTokens {
+  SessionId Session = 0;
+  std::uint32_t FirstIndex = 0;
+  std::vector<std::string> Tokens;
+};
+/// The stream ends: whole, or with the reason why not.
+struct EndStream {
+  SessionId Session = 0;
+  std::optional<base::Refusal> Failure;
+};
+/// The final answer to a request that got nothing.
+struct RefuseSession {
+  SessionId Session = 0;
+  base::Refusal Why;
+};
+/// The final answer of a plain service, or of a cancel (status 204).
+struct AnswerSession {
+  SessionId Session = 0;
+  wire::CallReply Answer;
+};
+/// Links to peers that are gone can be closed.
+struct ForgetPeer {
+  std::string Peer;
+};
+
+using Command =
+    std::variant<SendMessage, ReplyToPeer, BeginStream, DeliverTokens,
+                 EndStream, RefuseSession, AnswerSession, ForgetPeer>;
+using Commands = std::vector<Command>;
+
+/// Switches for the proofs; see agent::Mechanisms. All are on in the programs.
+struct Mechanisms {
+  bool AskAfterLostReplies = true;
+  bool DropRepeatedTokens = true;
+  bool LimitRetries = true;
+  bool SpreadDocuments = true;
+};
+
+struct CoreOptions {
+  std::string Name;
+  std::string Place;
+  bundle::TrustedKeys Trusted;
+  RouterOptions Routing;
+  std::uint64_t Seed = 1;
+  /// Most servers of one service that this entry reports with and routes to.
+  std::size_t SubsetSize = 24;
+  Mechanisms On;
+  std::function<void(std::string_view part, std::string_view sentence)> Note;
+  std::function<void(std::string_view metric, std::string_view label,
+                     std::string_view value, double by)>
+      Count;
+};
+
+class Members;
+
+class Core {
+public:
+  explicit Core(CoreOptions options);
+  ~Core();
+
+  Commands handle(base::Now now, Event event);
+
+  bool isReady() const;
+  bool hasSessions() const { return !Sessions.empty(); }
+  std::size_t sessions() const { return Sessions.size(); }
+  const plan::DocumentStore &documents() const { return Documents; }
+  const Members &members() const { return *Peers; }
+
+private:
+  enum class Phase {
+    Starting,  ///< A Start or Call is on its way.
+    Asking,    ///< Its reply was lost: a Revoke asks what became of it.
+    Backoff,   ///< Waits for a document to arrive at the other side.
+    Attaching, ///< Asks for a running generation.
+    Streaming,
+    Cancelling,
+  };
+
+  struct Session {
+    SessionId Id = 0;
+    Phase State = Phase::Starting;
+    std::string Organisation;
+    /// The request as asked; one of the two is set.
+    std::optional<GenerationAsked> Generation;
+    std::optional<CallAsked> Call;
+    /// The attempt in progress.
+    std::string RequestId;
+    std::string Attempt;
+    std::string Server;
+    std::vector<std::string> Tried;
+    /// The incarnation that the attempt was meant for.
+    std::uint64_t Incarnation = 0;
+    int Tries = 0;
+    int CatchUps = 0;
+    int Asks = 0;
+    /// An attempt may have run: the last word can no longer be "not run".
+    bool MayHaveRun = false;
+    bool Begun = false;
+    std::uint32_t NextIndex = 0;
+    base::Instant Deadline{};
+    base::Instant RetryAt{};
+  };
+
+  enum class MessageKind {
+    Start,
+    Revoke,
+    Attach,
+    Cancel,
+    Call,
+    Poll,
+    Sync,
+    Fetch,
+    Push,
+  };
+  struct SentMessage {
+    MessageKind Kind = MessageKind::Sync;
+    SessionId Session = 0;
+    std::string Peer;
+    /// The attempt it belongs to; a reply to an earlier one is dropped.
+    std::string Attempt;
+    wire::DocumentKind Document = wire::BUNDLE;
+  };
+
+  /// The long poll to one agent and the streams followed there.
+  struct Following {
+    std::map<std::string, SessionId> Streams;
+    MessageId Poll = 0;
+    base::Instant LastHeard{};
+    base::Instant NextPoll{};
+    bool NeedsPoll = false;
+  };
+
+  void on(base::Now now, GenerationAsked &e);
+  void on(base::Now now, ResumeAsked &e);
+  void on(base::Now now, CancelAsked &e);
+  void on(base::Now now, CallAsked &e);
+  void on(base::Now now, SessionClosed &e);
+  void on(base::Now now, ReplyArrived &e);
+  void on(base::Now now, PeerAsked &e);
+  void on(base::Now now, VmsListed &e);
+  void on(base::Now now, DocumentRead &e);
+  void on(base::Now now, LeaveOrdered &e);
+  void on(base::Now now, Tick &e);
+
+  const bundle::Organisation *authorise(SessionId id,
+                                        const std::string &credential);
+  base::Refusal checkGeneration(const GenerationAsked &e,
+                                const bundle::Organisation &o) const;
+  base::Refusal checkCall(base::Now now, const CallAsked &e,
+                          const bundle::Organisation &o) const;
+  Session *open(base::Now now, SessionId id, const bundle::Organisation &o);
+
+  void attempt(base::Now now, Session &s);
+  bool chooseServer(base::Now now, Session &s);
+  bool meetOwner(base::Now now, Session &s);
+  void sendStart(base::Now now, Session &s);
+  void sendCall(base::Now now, Session &s);
+  void sendRevoke(base::Now now, Session &s);
+  void retryOrGiveUp(base::Now now, Session &s, base::Refusal why);
+  void catchUp(base::Now now, Session &s, base::Refusal why);
+  void follow(base::Now now, Session &s);
+  void begin(Session &s);
+  void unfollow(Session &s);
+  void giveUp(base::Now now, Session &s, base::Refusal why);
+  void close(SessionId id);
+
+  void onStartReply(base::Now now, Session &s,
+                    const base::Result<wire::Reply> &r);
+  void onCallReply(base::Now now, Session &s,
+                   const base::Result<wire::Reply> &r);
+  void onAskReply(base::Now now, Session &s,
+                  const base::Result<wire::Reply> &r);
+  void onAttachReply(base::Now now, Session &s,
+                     const base::Result<wire::Reply> &r);
+  void onCancelReply(base::Now now, Session &s,
+                     const base::Result<wire::Reply> &r);
+  void onPollReply(base::Now now, const SentMessage &sent, MessageId id,
+                   const base::Result<wire::Reply> &r);
+  void onPart(base::Now now, const std::string &server,
+              const wire::StreamPart &part);
+  void onDocumentReply(base::Now now, const SentMessage &sent,
+                       const base::Result<wire::Reply> &r);
+  void compareVersions(base::Now now, const std::string &peer,
+                       const wire::Versions &theirs);
+
+  void poll(base::Now now, const std::string &server);
+  void pollAll(base::Now now);
+  void syncAll(base::Now now);
+  void checkSessions(base::Now now);
+  void takeDocument(base::Now now, wire::DocumentKind kind,
+                    std::string_view body, std::string_view from);
+  MessageId send(const std::string &peer, wire::Request request,
+                 SentMessage sent, base::milliseconds timeout);
+  void note(std::string_view part, const std::string &sentence) const;
+  void count(std::string_view metric, std::string_view label = {},
+             std::string_view value = {}, double by = 1) const;
+
+  CoreOptions Options;
+  plan::DocumentStore Documents;
+  std::unique_ptr<Members> Peers;
+  Router Routing;
+  base::Random Random;
+  OrganisationLimits Limits;
+  RetryBudget Budget;
+  std::unordered_map<std::string, std::string> OrganisationOfCredential;
+  std::unordered_map<SessionId, Session> Sessions;
+  std::unordered_map<MessageId, SentMessage> Sent;
+  std::map<std::string, Following> Follows;
+  Commands Out;
+  MessageId NextMessage = 1;
+  base::Instant LastCheck{};
+  bool IsLeaving = false;
+};
+
+} // namespace drumlanding::entry
--- /dev/null
+++ b/include/drumlanding/http/http.h
@@ -0,0 +1,131 @@
+/// HTTP/1.1 by Boost.Beast: a small server and client, with server-sent
+/// events. Beast itself stays out of this header, since it costs many seconds
+/// a file.
+///
+///   auto server = Server::listen(io, endpoint, options, handler);
+///   asio::awaitable<void> handler(Request r, Exchange &x) {
+///     co_await x.send({200, "text/plain", "hello\n"});
+///   }
+#pragma once
+
+#include "drumlanding/base/clock.h"
+#include "drumlanding/base/result.h"
+#include "drumlanding/base/settings.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/io_context.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace drumlanding::http {
+
+namespace asio = boost::asio;
+
+struct Header {
+  std::string Name;
+  std::string Value;
+};
+
+struct Request {
+  std::string Method;
+  /// Path and query, as sent.
+  std::string Target;
+  std::vector<Header> Headers;
+  std::string Body;
+
+  /// Returns a header's value, or an empty text. Names ignore case.
+  std::string_view header(std::string_view name) const;
+  std::string_view path() const;
+  /// Returns a parameter of the query, or an empty text.
+  std::string_view query(std::string_view name) const;
+};
+
+struct Response {
+  int Status = 200;
+  std::string ContentType;
+  std::string Body;
+  std::vector<Header> Headers;
+};
+
+/// One event of a stream.
+struct ServerEvent {
+  std::string Id;
+  std::string Name;
+  std::string Data;
+};
+
+/// Answers one request. Use either `send`, or `beginEvents`, `event` and
+/// `endEvents`. All return false once the caller is gone.
+class Exchange {
+public:
+  virtual ~Exchange() = default;
+  virtual asio::awaitable<bool> send(Response response) = 0;
+  virtual asio::awaitable<bool> beginEvents(std::vector<Header> headers) = 0;
+  virtual asio::awaitable<bool> events(std::vector<ServerEvent> events) = 0;
+  virtual asio::awaitable<bool> endEvents() = 0;
+  /// Calls `gone` when the caller closes the connection in mid-answer.
+  virtual void onGone(std::function<void()> gone) = 0;
+};
+
+using Handler = std::function<asio::awaitable<void>(Request, Exchange &)>;
+
+struct ServerOptions {
+  std::size_t MaxBodyBytes = 1 << 20;
+  base::seconds IdleLimit{60};
+  /// What an oversized body is answered with.
+  Response TooLarge{413, "text/plain", "The body is too large.\n", {}};
+  Response Malformed{400, "text/plain", "The request is malformed.\n", {}};
+};
+
+/// A listening server; each connection runs on a strand of its own.
+class Server {
+public:
+  static base::Result<std::unique_ptr<Server>>
+  listen(asio::io_context &io, const base::Endpoint &endpoint,
+         ServerOptions options, Handler handler);
+  ~Server();
+  /// Closes the port; open connections go on until their answer is sent.
+  void stopAccepting();
+
+private:
+  struct State;
+  explicit Server(std::shared_ptr<State> s) : S(std::move(s)) {}
+  std::shared_ptr<State> S;
+};
+
+/// What became of a request of ours.
+struct Fetched {
+  /// False when no connection came about: the other side saw nothing.
+  bool Reached = false;
+  base::Result<Response> Answer;
+};
+
+/// Sends one request on a connection of its own and reads the answer.
+asio::awaitable<Fetched> fetch(base::Endpoint to, Request request,
+                               base::milliseconds timeout);
+
+/// How a stream of events ended.
+struct StreamEnd {
+  bool Reached = false;
+  int Status = 0;
+  /// True when the other side ended it properly.
+  bool Whole = false;
+  std::string Body;
+};
+
+/// What a caller does with each event; false ends the stream.
+using EventHandler = std::function<bool(const ServerEvent &)>;
+/// Gets the head of the answer.
+using HeadHandler = std::function<void(const std::vector<Header> &)>;
+
+/// Sends a request and reads server-sent events until the end. `idleLimit` is
+/// the longest silence.
+asio::awaitable<StreamEnd> stream(base::Endpoint to, Request request,
+                                  base::milliseconds idleLimit,
+                                  EventHandler onEvent,
+                                  HeadHandler onHead = nullptr);
+
+} // namespace drumlanding::http
--- /dev/null
+++ b/src/agent/core.cc
@@ -0,0 +1,375 @@
+#include "drumlanding/agent/core.h"
+
+#include "call-table.h"
+#include "drumlanding/base/hash.h"
+#include "drumlanding/base/invariant.h"
+#include "generation-table.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace drumlanding::agent {
+namespace {
+
+using base::Invariant;
+using base::invariant;
+using base::milliseconds;
+using base::Reason;
+using base::Refusal;
+using base::seconds;
+using base::Verdict;
+
+constexpr milliseconds RetryBehind{200};
+constexpr milliseconds RetryNotReady{1'000};
+/// Most by which the clocks of two VMs may differ.
+constexpr seconds ClockError{5};
+/// A bundle is in force everywhere after this long; see the users' target.
+constexpr seconds PropagationLimit{11};
+/// An order to load that had no effect is given again after this long.
+constexpr seconds LoadAgainAfter{20};
+/// What is still on the engine this long before a reclaim is given up.
+constexpr milliseconds ReclaimMargin{500};
+
+bool holds(const std::vector<plan::LoadedModel> &models,
+           const wire::Start &start) {
+  return std::any_of(
+      models.begin(), models.end(), [&](const plan::LoadedModel &m) {
+        const bool hasAdapter = start.adapter().empty() ||
+                                std::find(m.Adapters.begin(), m.Adapters.end(),
+                                          start.adapter()) != m.Adapters.end();
+        return m.Model == start.model() && hasAdapter &&
+               (start.version().empty() || m.Version == start.version());
+      });
+}
+
+} // namespace
+
+std::string ownerOfKey(const std::vector<std::string> &servers,
+                       std::string_view key) {
+  const std::uint64_t keyHash = base::hash64(key);
+  std::string owner;
+  std::uint64_t best = 0;
+  for (const std::string &server : servers) {
+    const std::uint64_t rank = base::mix64(keyHash, base::hash64(server));
+    if (!owner.empty() && rank <= best)
+      continue;
+    owner = server;
+    best = rank;
+  }
+  return owner;
+}
+
+Core::Core(CoreOptions options)
+    : Options(std::move(options)), Documents(Options.Trusted),
+      Generations(std::make_unique<GenerationTable>(Options, Out)),
+      Calls(std::make_unique<CallTable>(Options, Out)),
+      RosterSince(Options.StartedAt) {}
+
+Core::~Core() = default;
+
+void Core::note(std::string_view part, const std::string &sentence) const {
+  if (Options.Note)
+    Options.Note(part, sentence);
+}
+
+ServerState Core::serverState() const { return Life.state(); }
+SchedulerLoad Core::load() const { return Generations->load(); }
+
+bool Core::hasWork() const {
+  return Generations->open() > 0 || Calls->open() > 0;
+}
+
+Commands Core::handle(base::Now now, Event event) {
+  Out.clear();
+  std::visit([&](auto &e) { on(now, e); }, event);
+  updateServerState();
+  for (Command &command : Out)
+    if (auto *send = std::get_if<SendReply>(&command)) {
+      send->Message.set_incarnation(Options.Incarnation);
+      *send->Message.mutable_versions() = Documents.versions();
+    }
+  return std::move(Out);
+}
+
+void Core::reply(ReplyId id, wire::Reply message) {
+  Out.push_back(SendReply{id, std::move(message)});
+}
+
+void Core::refuse(ReplyId id, const Refusal &refusal) {
+  wire::Reply message;
+  wire::Refused &refused = *message.mutable_refused();
+  refused.set_verdict(static_cast<std::uint32_t>(refusal.Outcome));
+  refused.set_reason(static_cast<std::uint32_t>(refusal.Why));
+  refused.set_retry_after_ms(
+      static_cast<std::uint32_t>(refusal.RetryAfter.count()));
+  reply(id, std::move(message));
+}
+
+void Core::on(base::Now now, RequestArrived &e) {
+  const wire::Request &m = e.Message;
+  switch (m.body_case()) {
+  case wire::Request::kStart:
+    start(now, e.Reply, m);
+    return;
+  case wire::Request::kPoll:
+    Generations->poll(now, e.Reply, m);
+    return;
+  case wire::Request::kRevoke:
+    if (m.revoke().attempt().empty())
+      Generations->revoke(now, e.Reply, m.revoke().request_id());
+    else
+      Calls->revoke(now, e.Reply, m.revoke());
+    return;
+  case wire::Request::kAttach:
+    Generations->attach(now, e.Reply, m.attach());
+    return;
+  case wire::Request::kCancel:
+    Generations->cancel(now, e.Reply, m.cancel());
+    return;
+  case wire::Request::kCall:
+    call(now, e.Reply, m);
+    return;
+  case wire::Request::kSync:
+    sync(now, e.Reply, m.sync());
+    return;
+  case wire::Request::kPush:
+    offer(now, m.push().document());
+    sync(now, e.Reply, wire::Sync());
+    return;
+  case wire::Request::kFetch: {
+    wire::Reply message;
+    wire::Document &document = *message.mutable_document();
+    const wire::DocumentKind kind = m.fetch().kind();
+    document.set_kind(kind);
+    document.set_body(Documents.body(kind));
+    reply(e.Reply, std::move(message));
+    return;
+  }
+  case wire::Request::BODY_NOT_SET:
+    break;
+  }
+  refuse(e.Reply, {Verdict::NotRun, Reason::MalformedRequest, {}});
+}
+
+/// Returns why a new request cannot be taken; Reason::None when it can.
+Refusal Core::admissionRefusal(base::Now now,
+                               const wire::Request &message) const {
+  const bool isStart = message.has_start();
+  const std::int64_t notAfter =
+      isStart ? message.start().not_after_ms() : message.call().not_after_ms();
+  if (now.Wall.time_since_epoch().count() > notAfter)
+    return {Verdict::NotRun, Reason::Expired, {}};
+  if (!Documents.bundle() || Life.state() == ServerState::Starting)
+    return {Verdict::NotRun, Reason::NotReady, RetryNotReady};
+  const bool isLeaving = Life.state() == ServerState::Leaving ||
+                         Life.state() == ServerState::Drained;
+  if (isLeaving && Options.On.RefuseWhenLeaving)
+    return {Verdict::NotRun, Reason::Leaving, RetryBehind};
+  // The higher version governs; who is behind gets the document first.
+  const std::uint64_t theirs = message.versions().bundle();
+  const std::uint64_t ours = Documents.versions().bundle();
+  if (theirs > ours)
+    return {Verdict::NotRun, Reason::BundleBehind, RetryBehind};
+  if (theirs < ours)
+    return {Verdict::NotRun, Reason::SenderBehind, RetryBehind};
+  if (!ServerAlive)
+    return {Verdict::NotRun, Reason::NoBackendServer, RetryNotReady};
+  return {};
+}
+
+void Core::start(base::Now now, ReplyId id, const wire::Request &message) {
+  const wire::Start &start = message.start();
+  if (Generations->knows(start.request_id()) && Options.On.RememberRequests) {
+    Generations->answerAgain(id, start.request_id());
+    return;
+  }
+  const bool isOther =
+      start.incarnation() != 0 && start.incarnation() != Options.Incarnation;
+  if (isOther && Options.On.CheckIncarnation) {
+    refuse(id, {Verdict::MayHaveRun, Reason::OtherIncarnation, RetryBehind});
+    return;
+  }
+  Refusal refusal = admissionRefusal(now, message);
+  const auto bundle = Documents.bundle();
+  const bundle::Organisation *organisation =
+      bundle ? bundle->organisation(start.organisation()) : nullptr;
+  JobSpec spec;
+  if (refusal.Why == Reason::None && !organisation)
+    refusal = {Verdict::NotRun, Reason::UnknownOrganisation, {}};
+  if (refusal.Why == Reason::None && !holds(Models, start))
+    refusal = {Verdict::NotRun, Reason::UnknownModel, RetryNotReady};
+  if (refusal.Why == Reason::None) {
+    const bundle::Contract &contract = organisation->Contract;
+    spec = {
+        start.organisation(),  lengthClass(start.organisation(), start.model()),
+        contract.Priority,     contract.Share,
+        contract.StallWeight,  contract.GapWeight,
+        start.prompt_tokens(), start.max_tokens(),
+        contract.MaxQueueWait};
+    const milliseconds wait = Generations->predictedWait(spec);
+    if (wait > contract.MaxQueueWait)
+      refusal = {Verdict::NotRun, Reason::Overloaded, wait};
+  }
+  if (refusal.Why != Reason::None) {
+    note("agent.admit", fmt::format("refuse request={} reason={}",
+                                    start.request_id(), toString(refusal.Why)));
+    Generations->leaveTombstone(now, start.request_id());
+    refuse(id, refusal);
+    return;
+  }
+  const bool isLeaving = Life.state() == ServerState::Leaving ||
+                         Life.state() == ServerState::Drained;
+  invariant(Invariant::NoWorkWhenLeaving, !isLeaving, start.request_id());
+  Generations->start(now, id, start, spec);
+}
+
+void Core::call(base::Now now, ReplyId id, const wire::Request &message) {
+  const wire::Call &call = message.call();
+  const bool isKnown =
+      Calls->knows(call.request_id()) && Options.On.RememberRequests;
+  if (!isKnown) {
+    Refusal refusal = admissionRefusal(now, message);
+    const bool isOwner =
+        call.repeatable() ||
+        ownerOfKey(Roster, call.request_id()) == Options.Server;
+    if (refusal.Why == Reason::None && !isOwner)
+      refusal = {Verdict::NotRun, Reason::WrongOwner, RetryBehind};
+    if (refusal.Why != Reason::None) {
+      Calls->refuseForGood(now, id, call.attempt(), refusal);
+      return;
+    }
+  }
+  Calls->call(now, id, call, RosterSince + ClockError);
+}
+
+void Core::sync(base::Now now, ReplyId id, const wire::Sync &message) {
+  if (message.listed_leaving() && !LeaveByList) {
+    LeaveByList = true;
+    note("agent.drain", "leaving: the platform's list says so");
+  }
+  applyDocuments(now);
+  wire::Reply answer;
+  *answer.mutable_report() = report();
+  reply(id, std::move(answer));
+}
+
+void Core::offer(base::Now now, const wire::Document &document) {
+  std::string why;
+  const plan::Offer offer =
+      Documents.offer(now.Wall, document.kind(), document.body(), &why);
+  note("agent.document",
+       fmt::format("offered {}: {} {}", plan::toString(document.kind()),
+                   plan::toString(offer), why));
+  if (offer == plan::Offer::Taken)
+    applyDocuments(now);
+}
+
+void Core::applyDocuments(base::Now now) {
+  const auto bundle = Documents.bundle();
+  if (!bundle)
+    return;
+  LeaveByBundle = bundle->isDraining(Options.Server);
+  const bundle::Service *service = bundle->service(Options.Service);
+  if (service && service->Servers != Roster) {
+    // Keys from before another list was in force may have run elsewhere.
+    if (!Roster.empty())
+      RosterSince = now.Wall + PropagationLimit;
+    Roster = service->Servers;
+  }
+  const auto plan = Documents.plan();
+  const plan::Assignment *assignment =
+      plan ? plan->assignment(Options.Server) : nullptr;
+  if (!assignment || !ServerAlive)
+    return;
+  invariant(Invariant::VersionNeverFalls, plan->Version >= LoadedFence,
+            "order to the engine");
+  const bool isNew = plan->Version > LoadedFence;
+  const bool isOverdue = now.Steady - LastLoad > LoadAgainAfter;
+  if (assignment->Models == Models || (!isNew && !isOverdue))
+    return;
+  LoadedFence = plan->Version;
+  LastLoad = now.Steady;
+  note("agent.place", fmt::format("load models={} fence={}",
+                                  assignment->Models.size(), LoadedFence));
+  Out.push_back(LoadOnEngine{LoadedFence, assignment->Models});
+}
+
+void Core::updateServerState() {
+  const bool leave = LeaveByOrder || LeaveByList || LeaveByBundle;
+  const ServerState before = Life.state();
+  if (before == ServerState::Starting && Documents.bundle() && ServerAlive)
+    Life.apply(ServerStep::Ready);
+  const ServerState now = Life.state();
+  const bool isLeaving =
+      now == ServerState::Leaving || now == ServerState::Drained;
+  if (leave && !isLeaving)
+    Life.apply(ServerStep::Leave);
+  if (!leave && isLeaving)
+    Life.apply(ServerStep::Stay);
+  if (Life.state() == ServerState::Leaving && !hasWork())
+    Life.apply(ServerStep::Drain);
+  if (Life.state() != before)
+    note("agent.drain", fmt::format("state {} -> {}", toString(before),
+                                    toString(Life.state())));
+}
+
+void Core::on(base::Now now, TokensArrived &e) { Generations->tokens(now, e); }
+
+void Core::on(base::Now now, EngineStreamEnded &e) {
+  Generations->ended(now, e);
+}
+
+void Core::on(base::Now now, CallEnded &e) { Calls->ended(now, e); }
+
+void Core::on(base::Now now, ServerObserved &e) {
+  if (ServerAlive && !e.IsAlive) {
+    note("agent.engine", "the backend server no longer answers");
+    Generations->serverLost(now);
+  }
+  if (!ServerAlive && e.IsAlive)
+    LoadedFence = 0; // a new engine has loaded nothing of the plan
+  ServerAlive = e.IsAlive;
+  Models = e.Models;
+  if (e.CapacityTokens > 0)
+    Generations->setCapacity(e.CapacityTokens);
+  applyDocuments(now);
+}
+
+void Core::on(base::Now, StepObserved &e) { Generations->stepTook(e); }
+
+void Core::on(base::Now now, LeaveOrdered &e) {
+  LeaveByOrder = true;
+  Deadline = e.Deadline;
+  if (Deadline)
+    Generations->reclaim(now, false);
+}
+
+void Core::on(base::Now now, Tick &) {
+  if (Deadline && now.Steady + ReclaimMargin >= *Deadline)
+    Generations->reclaim(now, true);
+  Generations->tick(now, ServerAlive);
+  Calls->tick(now);
+}
+
+wire::Report Core::report() const {
+  wire::Report report;
+  const SchedulerLoad load = Generations->load();
+  report.set_server(Options.Server);
+  report.set_service(Options.Service);
+  report.set_place(Options.Place);
+  report.set_running(load.Running + static_cast<std::uint32_t>(Calls->open()));
+  report.set_waiting(load.Waiting);
+  report.set_used_tokens(load.UsedTokens);
+  report.set_capacity_tokens(load.CapacityTokens);
+  report.set_predicted_wait_ms(
+      static_cast<std::uint32_t>(load.PredictedWait.count()));
+  report.set_leaving(Life.state() != ServerState::Serving);
+  for (const plan::LoadedModel &m : Models) {
+    report.add_models(m.Model + "@" + m.Version);
+    for (const std::string &adapter : m.Adapters)
+      report.add_models(m.Model + "@" + m.Version + "+" + adapter);
+  }
+  return report;
+}
+
+} // namespace drumlanding::agent
--- /dev/null
+++ b/src/agent/lengths.cc
@@ -0,0 +1,148 @@
+#include "drumlanding/agent/lengths.h"
+
+#include "drumlanding/base/hash.h"
+
+#include <algorithm>
+#include <bit>
+#include <cmath>
+
+namespace drumlanding::agent {
+namespace {
+
+/// Weight of the wider class in the hazard of a bucket, in observations.
+constexpr double ParentWeight = 12;
+/// Observations of a bucket fade with this many newer ones.
+constexpr double Memory = 300;
+/// A curve is made anew after this many observations.
+constexpr int ChangesPerRebuild = 24;
+/// The prior: outputs are log-normal around this many tokens, and wide. It is
+/// longer than most, so that a cold start admits carefully.
+constexpr double PriorMedian = 250;
+constexpr double PriorSigma = 1.3;
+constexpr double LeastHazard = 1e-4;
+constexpr double MostHazard = 0.98;
+
+double startOf(int bucket) {
+  return std::exp2(static_cast<double>(bucket) / LengthModel::BucketsPerOctave);
+}
+
+double priorSurvival(double length) {
+  const double z = (std::log(length) - std::log(PriorMedian)) / PriorSigma;
+  return 0.5 * std::erfc(z / std::sqrt(2.0));
+}
+
+} // namespace
+
+LengthClass lengthClass(std::string_view organisation, std::string_view model) {
+  return base::mix64(base::hash64(organisation), base::hash64(model));
+}
+
+LengthModel::LengthModel() {
+  for (int b = 0; b < Buckets; ++b) {
+    const double before = std::max(priorSurvival(startOf(b)), 1e-9);
+    const double after = priorSurvival(startOf(b + 1));
+    PriorHazard[b] = std::clamp(1 - after / before, LeastHazard, MostHazard);
+  }
+  rebuild(All, PriorHazard);
+  AllHazard = hazards(All, PriorHazard);
+}
+
+int LengthModel::bucketOf(std::uint32_t length) {
+  if (length < 2)
+    return 0;
+  const double octaves = std::log2(static_cast<double>(length));
+  return std::min(static_cast<int>(octaves * BucketsPerOctave), Buckets - 1);
+}
+
+void LengthModel::expose(Curve &curve, int bucket, bool ended) {
+  const double keep = 1 - 1 / Memory;
+  curve.Exposure[bucket] = curve.Exposure[bucket] * keep + 1;
+  curve.Ends[bucket] = curve.Ends[bucket] * keep + (ended ? 1 : 0);
+  ++curve.Changes;
+}
+
+void LengthModel::learn(LengthClass cls, int bucket, bool ended) {
+  expose(All, bucket, ended);
+  if (All.Changes >= ChangesPerRebuild) {
+    rebuild(All, PriorHazard);
+    AllHazard = hazards(All, PriorHazard);
+  }
+  const auto [it, isNew] = Classes.try_emplace(cls);
+  Curve &curve = it->second;
+  expose(curve, bucket, ended);
+  if (isNew || curve.Changes >= ChangesPerRebuild)
+    rebuild(curve, AllHazard);
+}
+
+void LengthModel::passed(LengthClass cls, std::uint32_t from,
+                         std::uint32_t to) {
+  for (int b = bucketOf(from); b < bucketOf(to); ++b)
+    learn(cls, b, false);
+}
+
+void LengthModel::ended(LengthClass cls, std::uint32_t length) {
+  learn(cls, bucketOf(length), true);
+}
+
+LengthModel::Row LengthModel::hazards(const Curve &curve,
+                                      const Row &parent) const {
+  Row row{};
+  for (int b = 0; b < Buckets; ++b) {
+    const double ends = curve.Ends[b] + ParentWeight * parent[b];
+    const double exposure = curve.Exposure[b] + ParentWeight;
+    row[b] = std::clamp(ends / exposure, LeastHazard, MostHazard);
+  }
+  return row;
+}
+
+void LengthModel::rebuild(Curve &curve, const Row &parentHazard) {
+  const Row hazard = hazards(curve, parentHazard);
+  double sum = 0;
+  for (int b = 0; b < Buckets; ++b) {
+    sum += std::log1p(-hazard[b]);
+    curve.LogSurvival[b] = sum;
+  }
+  curve.Changes = 0;
+}
+
+double LengthModel::logSurvivalAt(const Curve &curve, double length) const {
+  if (length <= 1)
+    return 0;
+  const double at = std::log2(length) * BucketsPerOctave;
+  const int b = std::min(static_cast<int>(at), Buckets - 1);
+  const double before = b == 0 ? 0 : curve.LogSurvival[b - 1];
+  const double part = std::min(at - b, 1.0);
+  return before + (curve.LogSurvival[b] - before) * part;
+}
+
+const LengthModel::Curve &LengthModel::curveOf(LengthClass cls) const {
+  const auto it = Classes.find(cls);
+  return it == Classes.end() ? All : it->second;
+}
+
+double LengthModel::survival(LengthClass cls, std::uint32_t produced,
+                             std::uint32_t more) const {
+  const Curve &curve = curveOf(cls);
+  const double now = logSurvivalAt(curve, produced);
+  const double then = logSurvivalAt(curve, produced + more);
+  return std::exp(then - now);
+}
+
+double LengthModel::expectedRemaining(LengthClass cls, std::uint32_t produced,
+                                      std::uint32_t limit) const {
+  const Curve &curve = curveOf(cls);
+  const double now = logSurvivalAt(curve, produced);
+  double sum = 0;
+  double from = produced;
+  for (int b = bucketOf(produced); b < Buckets && from < limit; ++b) {
+    const double to = std::min<double>(startOf(b + 1), limit);
+    if (to <= from)
+      continue;
+    const double alive = std::exp(logSurvivalAt(curve, (from + to) / 2) - now);
+    sum += alive * (to - from);
+    from = to;
+  }
+  return sum;
+}
+
+} // namespace drumlanding::agent
--- /dev/null
+++ b/src/agent/scheduler.cc
@@ -0,0 +1,409 @@
+#include "drumlanding/agent/scheduler.h"
+
+#include "drumlanding/base/invariant.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace drumlanding::agent {
+namespace {
+
+/// A forecast is made anew after this many tokens.
+constexpr std::uint32_t TokensPerForecast = 16;
+/// Room kept for the tokens that are on their way while a yield takes effect.
+constexpr std::uint32_t StepsToYield = 3;
+/// A generation comes back when it leaves this part of the memory free.
+constexpr double ResumeRoomPart = 0.02;
+/// A prompt token costs this part of a generated one, in an organisation's use.
+constexpr double PromptCost = 0.2;
+/// A waiting generation moves up one priority after this time.
+constexpr base::seconds PriorityStep{4};
+/// An organisation is above its share with this many times its even part.
+constexpr double OverdrawnFactor = 1.5;
+/// New observations weigh this much in the learnt costs.
+constexpr double Learning = 0.05;
+constexpr base::milliseconds LeastStepTarget{40};
+
+double msOf(base::Duration d) {
+  return std::chrono::duration<double, std::milli>(d).count();
+}
+
+} // namespace
+
+Scheduler::Scheduler(SchedulerOptions options) : Options(std::move(options)) {}
+
+bool Scheduler::isOnEngine(const Job &job) const {
+  return job.State == JobState::Prefilling || job.State == JobState::Running ||
+         job.State == JobState::Yielding;
+}
+
+double Scheduler::survival(const Job &job, std::uint32_t more) const {
+  if (job.Produced + more >= job.Spec.MaxTokens)
+    return 0;
+  if (Options.Survival)
+    return Options.Survival({job.Id, job.Spec, job.Produced}, more);
+  return Lengths.survival(job.Spec.Class, job.Produced, more);
+}
+
+void Scheduler::forecast(Job &job) {
+  job.ForecastAt = job.Produced;
+  for (std::size_t i = 0; i < Horizons.size(); ++i) {
+    const double alive = survival(job, Horizons[i]);
+    const double size = static_cast<double>(job.tokens() + Horizons[i]);
+    job.Mean[i] = alive * size;
+    job.Variance[i] = alive * (1 - alive) * size * size;
+  }
+}
+
+void Scheduler::addForecast(const Job &job, double sign) {
+  for (std::size_t i = 0; i < Horizons.size(); ++i) {
+    MeanSum[i] += sign * job.Mean[i];
+    VarianceSum[i] += sign * job.Variance[i];
+  }
+}
+
+double Scheduler::leastAttained() const {
+  std::optional<double> least;
+  for (const auto &[name, tenant] : Tenants)
+    if (tenant.Active > 0 && (!least || tenant.Attained < *least))
+      least = tenant.Attained;
+  return least.value_or(0);
+}
+
+void Scheduler::activate(Tenant &tenant) {
+  // An organisation that was away gets no credit for the time.
+  if (tenant.Active == 0)
+    tenant.Attained = std::max(tenant.Attained, leastAttained());
+  ++tenant.Active;
+}
+
+void Scheduler::add(base::Instant now, JobId id, const JobSpec &spec) {
+  Tenant &tenant = Tenants[spec.Organisation];
+  tenant.Share = spec.Share;
+  activate(tenant);
+  tenant.Queue.push_back(id);
+  ++WaitingJobs;
+  Job &job = Jobs[id];
+  job.Id = id;
+  job.Spec = spec;
+  job.Since = now;
+}
+
+base::milliseconds Scheduler::predictedWait(const JobSpec &spec) const {
+  const auto it = Tenants.find(spec.Organisation);
+  const double ahead =
+      it == Tenants.end() ? 0 : static_cast<double>(it->second.Queue.size());
+  // Fair queueing serves the organisations with a queue in turn.
+  double queues = 1;
+  for (const auto &[name, tenant] : Tenants)
+    if (!tenant.Queue.empty() && name != spec.Organisation)
+      queues += tenant.Share / spec.Share;
+  const double wait =
+      std::min(static_cast<double>(WaitingJobs), ahead * queues) * AdmissionMs;
+  return base::milliseconds(static_cast<std::int64_t>(wait));
+}
+
+void Scheduler::putOnEngine(base::Instant now, Job &job) {
+  job.PrefillTokens = static_cast<std::uint32_t>(job.tokens());
+  job.State = JobState::Prefilling;
+  job.Since = now;
+  PrefillInFlight += job.PrefillTokens;
+  UsedTokens += job.tokens();
+  ++OnEngine;
+  StallWeightSum += job.Spec.StallWeight;
+  GapWeightSum += job.Spec.GapWeight;
+  Tenant &tenant = Tenants[job.Spec.Organisation];
+  tenant.UsedTokens += job.tokens();
+  tenant.Attained += PromptCost * job.Spec.PromptTokens / tenant.Share;
+  forecast(job);
+  addForecast(job, 1);
+}
+
+void Scheduler::takeOffEngine(Job &job) {
+  if (job.State == JobState::Prefilling)
+    PrefillInFlight -= job.PrefillTokens;
+  if (job.State == JobState::Yielding)
+    YieldingTokens -= job.tokens();
+  UsedTokens -= job.tokens();
+  --OnEngine;
+  StallWeightSum -= job.Spec.StallWeight;
+  GapWeightSum -= job.Spec.GapWeight;
+  Tenants[job.Spec.Organisation].UsedTokens -= job.tokens();
+  addForecast(job, -1);
+  if (OnEngine > 0)
+    return;
+  // Nothing is left: drop what rounding has left in the sums.
+  MeanSum = {};
+  VarianceSum = {};
+  StallWeightSum = 0;
+  GapWeightSum = 0;
+}
+
+void Scheduler::produced(base::Instant now, JobId id, std::uint32_t count) {
+  const auto it = Jobs.find(id);
+  if (it == Jobs.end() || !isOnEngine(it->second))
+    return;
+  Job &job = it->second;
+  if (job.State == JobState::Prefilling) {
+    PrefillInFlight -= job.PrefillTokens;
+    job.State = JobState::Running;
+    job.Since = now;
+  }
+  if (job.State == JobState::Yielding)
+    YieldingTokens += count;
+  Lengths.passed(job.Spec.Class, job.Produced, job.Produced + count);
+  job.Produced += count;
+  UsedTokens += count;
+  Tenant &tenant = Tenants[job.Spec.Organisation];
+  tenant.UsedTokens += count;
+  tenant.Attained += count / tenant.Share;
+  if (job.Produced - job.ForecastAt < TokensPerForecast)
+    return;
+  addForecast(job, -1);
+  forecast(job);
+  addForecast(job, 1);
+}
+
+void Scheduler::yielded(base::Instant now, JobId id) {
+  const auto it = Jobs.find(id);
+  if (it == Jobs.end() || !isOnEngine(it->second))
+    return;
+  Job &job = it->second;
+  takeOffEngine(job);
+  // The engine can preempt one by itself; that counts as a yield too.
+  if (job.State != JobState::Yielding)
+    ++job.Yields;
+  job.State = JobState::Yielded;
+  job.Since = now;
+  Yielded.push_back(id);
+}
+
+void Scheduler::remove(base::Instant, JobId id, bool ended) {
+  const auto it = Jobs.find(id);
+  if (it == Jobs.end())
+    return;
+  Job &job = it->second;
+  Tenant &tenant = Tenants[job.Spec.Organisation];
+  if (isOnEngine(job))
+    takeOffEngine(job);
+  if (job.State == JobState::Waiting) {
+    std::erase(tenant.Queue, id);
+    --WaitingJobs;
+  }
+  if (job.State == JobState::Yielded)
+    std::erase(Yielded, id);
+  if (ended)
+    Lengths.ended(job.Spec.Class, job.Produced);
+  --tenant.Active;
+  Jobs.erase(it);
+}
+
+void Scheduler::stepTook(base::Duration step, std::uint32_t prefillTokens) {
+  const double ms = msOf(step);
+  if (prefillTokens == 0) {
+    PlainStepMs += Learning * (ms - PlainStepMs);
+    return;
+  }
+  const double perToken = (ms - PlainStepMs) / prefillTokens;
+  if (perToken > 0)
+    PrefillTokenMs += Learning * (perToken - PrefillTokenMs);
+}
+
+double Scheduler::riskFactor() const {
+  if (OnEngine == 0)
+    return Options.RiskFactor;
+  return Options.RiskFactor * std::sqrt(StallWeightSum / OnEngine);
+}
+
+base::milliseconds Scheduler::stepTarget() const {
+  if (OnEngine == 0)
+    return Options.StepTarget;
+  const double weight = std::max(GapWeightSum / OnEngine, 0.1);
+  const auto target = base::milliseconds(static_cast<std::int64_t>(
+      static_cast<double>(Options.StepTarget.count()) / std::sqrt(weight)));
+  return std::max(target, LeastStepTarget);
+}
+
+bool Scheduler::isOverdrawn(const Tenant &tenant) const {
+  double shares = 0;
+  for (const auto &[name, other] : Tenants)
+    if (other.Active > 0)
+      shares += other.Share;
+  const double even = static_cast<double>(Options.CapacityTokens) *
+                      tenant.Share / std::max(shares, tenant.Share);
+  return static_cast<double>(tenant.UsedTokens) > OverdrawnFactor * even;
+}
+
+std::uint64_t Scheduler::roomLimit(const Job &job) const {
+  const auto it = Tenants.find(job.Spec.Organisation);
+  if (it == Tenants.end() || !isOverdrawn(it->second))
+    return Options.CapacityTokens;
+  return static_cast<std::uint64_t>(
+      static_cast<double>(Options.CapacityTokens) * Options.OverdrawnPart);
+}
+
+bool Scheduler::fitsNow(const Job &job) const {
+  const std::uint64_t growth = StepsToYield * (OnEngine + 1ULL);
+  return UsedTokens + job.tokens() + growth <= Options.CapacityTokens;
+}
+
+bool Scheduler::fitsForecast(const Job &job, std::uint64_t limit) const {
+  const double z = riskFactor();
+  for (std::size_t i = 0; i < Horizons.size(); ++i) {
+    const double mean = MeanSum[i] + job.Mean[i];
+    const double variance = std::max(VarianceSum[i] + job.Variance[i], 0.0);
+    if (mean + z * std::sqrt(variance) > static_cast<double>(limit))
+      return false;
+  }
+  return true;
+}
+
+bool Scheduler::fits(Job &job) {
+  if (Options.Rule == AdmissionRule::Greedy)
+    return true;
+  if (Options.Rule == AdmissionRule::Reserve)
+    return (OnEngine + 1ULL) * (Options.ReserveTokens) <=
+               Options.CapacityTokens &&
+           fitsNow(job);
+  // One that fits nowhere near still runs alone.
+  if (OnEngine == 0)
+    return true;
+  const std::uint64_t limit = roomLimit(job);
+  if (!fitsNow(job) || UsedTokens + job.tokens() > limit)
+    return false;
+  forecast(job);
+  return fitsForecast(job, limit);
+}
+
+bool Scheduler::prefillAllows(const Job &job) const {
+  if (Options.StepTarget.count() == 0 || PrefillInFlight == 0)
+    return true;
+  const double stretch =
+      PrefillTokenMs * static_cast<double>(PrefillInFlight + job.tokens());
+  return PlainStepMs + stretch <= static_cast<double>(stepTarget().count());
+}
+
+Scheduler::Job *Scheduler::nextWaiting(base::Instant now) {
+  Job *best = nullptr;
+  double bestPriority = 0;
+  double bestAttained = 0;
+  for (auto &[name, tenant] : Tenants) {
+    if (tenant.Queue.empty())
+      continue;
+    Job &job = Jobs.at(tenant.Queue.front());
+    const auto steps = (now - job.Since) / PriorityStep;
+    const double priority = job.Spec.Priority + static_cast<double>(steps);
+    const bool isBetter =
+        !best || priority > bestPriority ||
+        (priority == bestPriority && tenant.Attained < bestAttained);
+    if (!isBetter)
+      continue;
+    best = &job;
+    bestPriority = priority;
+    bestAttained = tenant.Attained;
+  }
+  return best;
+}
+
+Scheduler::Job *Scheduler::victim() {
+  // The fewest yields so far go first: this bounds them for each generation.
+  // Then the lowest priority, then the cheapest to bring back.
+  Job *best = nullptr;
+  const auto rank = [&](const Job &job) {
+    const bool isProtected = job.Yields >= Options.MaxYields;
+    return std::tuple(isProtected, job.Yields, job.Spec.Priority,
+                      job.Spec.StallWeight, static_cast<double>(job.tokens()));
+  };
+  for (auto &[id, job] : Jobs) {
+    if (job.State != JobState::Running)
+      continue;
+    if (!best || rank(job) < rank(*best) ||
+        (rank(job) == rank(*best) && job.Id > best->Id))
+      best = &job;
+  }
+  return best;
+}
+
+void Scheduler::relieve(base::Instant now, Decisions &out) {
+  if (Options.Rule == AdmissionRule::Greedy)
+    return;
+  const std::uint64_t growth = StepsToYield * OnEngine;
+  while (UsedTokens - YieldingTokens + growth > Options.CapacityTokens) {
+    Job *job = victim();
+    // The last one keeps the engine: yielding it would help nobody.
+    if (!job || OnEngine < 2)
+      return;
+    const bool allProtected =
+        std::none_of(Jobs.begin(), Jobs.end(), [&](const auto &entry) {
+          return entry.second.State == JobState::Running &&
+                 entry.second.Yields < Options.MaxYields;
+        });
+    base::invariant(base::Invariant::BoundedYields,
+                    job->Yields < Options.MaxYields || allProtected,
+                    job->Spec.Organisation);
+    job->State = JobState::Yielding;
+    job->Since = now;
+    ++job->Yields;
+    YieldingTokens += job->tokens();
+    out.Yield.push_back(job->Id);
+  }
+}
+
+bool Scheduler::resume(base::Instant now, Decisions &out) {
+  while (!Yielded.empty()) {
+    Job &job = Jobs.at(Yielded.front());
+    const auto room = static_cast<std::uint64_t>(
+        static_cast<double>(Options.CapacityTokens) * ResumeRoomPart);
+    const bool fits =
+        UsedTokens + job.tokens() + room + StepsToYield * (OnEngine + 1ULL) <=
+        Options.CapacityTokens;
+    if ((!fits && OnEngine > 0) || !prefillAllows(job))
+      return false;
+    Yielded.pop_front();
+    putOnEngine(now, job);
+    out.Start.push_back(job.Id);
+  }
+  return true;
+}
+
+void Scheduler::admit(base::Instant now, Decisions &out) {
+  while (Job *job = nextWaiting(now)) {
+    if (!prefillAllows(*job) || !fits(*job))
+      return;
+    Tenants[job->Spec.Organisation].Queue.pop_front();
+    --WaitingJobs;
+    putOnEngine(now, *job);
+    out.Start.push_back(job->Id);
+    const double since = msOf(now - LastAdmission);
+    constexpr double LongestSinceMs = 5'000;
+    AdmissionMs += Learning * (std::min(since, LongestSinceMs) - AdmissionMs);
+    LastAdmission = now;
+  }
+}
+
+Decisions Scheduler::decide(base::Instant now) {
+  Decisions out;
+  relieve(now, out);
+  // What had to yield comes back before any new work.
+  if (resume(now, out) && YieldingTokens == 0)
+    admit(now, out);
+  return out;
+}
+
+std::uint32_t Scheduler::yieldsOf(JobId id) const {
+  const auto it = Jobs.find(id);
+  return it == Jobs.end() ? 0 : it->second.Yields;
+}
+
+SchedulerLoad Scheduler::load() const {
+  SchedulerLoad load;
+  load.Running = OnEngine;
+  load.Waiting = WaitingJobs + static_cast<std::uint32_t>(Yielded.size());
+  load.UsedTokens = UsedTokens;
+  load.CapacityTokens = Options.CapacityTokens;
+  load.PredictedWait =
+      base::milliseconds(static_cast<std::int64_t>(AdmissionMs * WaitingJobs));
+  return load;
+}
+
+} // namespace drumlanding::agent
--- /dev/null
+++ b/src/agent/shell.cc
@@ -0,0 +1,354 @@
+#include "shell.h"
+
+#include "drumlanding/base/hash.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace drumlanding::agent {
+namespace {
+
+using base::milliseconds;
+using base::Result;
+using Json = nlohmann::json;
+
+/// Requests that the agent can hold at a time; each entry has one long poll.
+constexpr int ControlContexts = 256;
+constexpr milliseconds TickEvery{5};
+constexpr milliseconds ObserveEvery{500};
+constexpr milliseconds ObserveLimit{2'000};
+/// A backend server that misses this many looks is taken for dead.
+constexpr int MissesUntilDead = 3;
+constexpr milliseconds StreamSilence{30'000};
+constexpr milliseconds StopLimit{2'000};
+constexpr int StopTries = 3;
+constexpr milliseconds CallLimit{7'000};
+constexpr milliseconds LoadLimit{60'000};
+/// After the last answer, entries get this long to fetch it.
+constexpr milliseconds LingerAfterDrain{1'500};
+
+asio::awaitable<void> sleepFor(milliseconds time) {
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  timer.expires_after(time);
+  boost::system::error_code ec;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+}
+
+std::string requestBody(const StartOnEngine &c) {
+  return Json{{"id", c.RequestId},
+              {"model", c.Start.model()},
+              {"version", c.Start.version()},
+              {"adapter", c.Start.adapter()},
+              {"prompt", c.Start.prompt()},
+              {"promptTokens", c.Start.prompt_tokens()},
+              {"maxTokens", c.Start.max_tokens()},
+              {"priority", c.Priority},
+              {"resumeFrom", c.ResumeFrom}}
+      .dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+std::vector<plan::LoadedModel> modelsFrom(const Json &json) {
+  std::vector<plan::LoadedModel> models;
+  for (const Json &m : json)
+    models.push_back({m.at("model").get<std::string>(),
+                      m.at("version").get<std::string>(),
+                      m.at("adapters").get<std::vector<std::string>>()});
+  return models;
+}
+
+} // namespace
+
+Shell::Shell(daemon::Runtime &runtime, ShellSettings settings)
+    : Runtime(runtime), Settings(std::move(settings)), DecisionLog("agent") {}
+
+Result<std::unique_ptr<Shell>> Shell::start(daemon::Runtime &runtime,
+                                            ShellSettings settings) {
+  std::unique_ptr<Shell> shell(new Shell(runtime, std::move(settings)));
+  Shell &s = *shell;
+  CoreOptions options;
+  options.Server = s.Settings.Daemon.Name;
+  options.Service = s.Settings.Service;
+  options.Place = s.Settings.Daemon.Place;
+  options.Incarnation = base::secureRandom64() | 1;
+  options.StartedAt = s.Time.now().Wall;
+  options.Trusted = s.Settings.Daemon.Trusted;
+  options.Scheduling = s.Settings.Scheduling;
+  options.Note = [](std::string_view part, std::string_view sentence) {
+    base::Log(std::string(part)).info("{}", sentence);
+  };
+  options.Count = [&s](std::string_view metric, double by) {
+    s.Metrics.count(metric, {}, by);
+  };
+  s.TheCore = std::make_unique<Core>(std::move(options));
+  auto control = wire::Server::listen(
+      s.Settings.Daemon.ControlListen, s.Settings.Daemon.Key, ControlContexts,
+      [&s](wire::Request request, wire::Responder respond) {
+        asio::post(s.Runtime.io(), [&s, request = std::move(request),
+                                    respond = std::move(respond)]() mutable {
+          ReplyId id = 0;
+          {
+            const std::lock_guard guard(s.CoreLock);
+            id = s.NextReply++;
+            s.Responders.emplace(id, std::move(respond));
+          }
+          s.dispatch(RequestArrived{id, std::move(request)});
+        });
+      });
+  if (!ok(control))
+    return error(control);
+  s.Control = std::move(value(control));
+  auto admin = http::Server::listen(
+      runtime.io(), s.Settings.AdminListen, {},
+      [&s](http::Request r, http::Exchange &x) { return s.admin(r, x); });
+  if (!ok(admin))
+    return error(admin);
+  s.Admin = std::move(value(admin));
+  runtime.spawn(s.tickLoop());
+  runtime.spawn(s.observeLoop());
+  return shell;
+}
+
+void Shell::leave() {
+  std::optional<base::Instant> deadline;
+  if (Settings.ReclaimNotice.count() > 0)
+    deadline = Time.now().Steady + Settings.ReclaimNotice;
+  IsLeaving = true;
+  dispatch(LeaveOrdered{deadline});
+}
+
+void Shell::dispatch(Event event) {
+  const std::lock_guard guard(CoreLock);
+  for (Command &command : TheCore->handle(Time.now(), std::move(event)))
+    std::visit([&](auto &c) { execute(c); }, command);
+}
+
+void Shell::execute(SendReply &c) {
+  const auto node = Responders.extract(c.Reply);
+  if (!node.empty())
+    node.mapped()(c.Message);
+}
+
+void Shell::execute(StartOnEngine &c) {
+  auto stopped = std::make_shared<std::atomic<bool>>(false);
+  Streams[c.RequestId] = stopped;
+  Runtime.spawn(runStream(std::move(c), std::move(stopped)));
+}
+
+void Shell::execute(StopOnEngine &c) {
+  if (const auto it = Streams.find(c.RequestId);
+      it != Streams.end() && !c.Keep) {
+    *it->second = true;
+    Streams.erase(it);
+  }
+  Runtime.spawn(stopStream("/v1/streams/" + c.RequestId +
+                           "/stop?keep=" + (c.Keep ? "1" : "0")));
+}
+
+void Shell::execute(CallService &c) { Runtime.spawn(runCall(std::move(c))); }
+
+void Shell::execute(LoadOnEngine &c) { Runtime.spawn(load(std::move(c))); }
+
+asio::awaitable<void>
+Shell::runStream(StartOnEngine start,
+                 std::shared_ptr<std::atomic<bool>> stopped) {
+  const std::string id = start.RequestId;
+  std::optional<EngineEnd> how;
+  const auto onEvent = [&](const http::ServerEvent &event) {
+    if (*stopped)
+      return false;
+    if (event.Name == "token") {
+      std::uint32_t index = 0;
+      std::from_chars(event.Id.data(), event.Id.data() + event.Id.size(),
+                      index);
+      dispatch(TokensArrived{id, index, {event.Data}});
+      return true;
+    }
+    how = event.Name == "done"      ? EngineEnd::Finished
+          : event.Name == "yielded" ? EngineEnd::LetGo
+                                    : EngineEnd::Lost;
+    return false;
+  };
+  http::Request request{"POST", "/v1/streams", {}, requestBody(start)};
+  const http::StreamEnd end = co_await http::stream(
+      Settings.Backend, std::move(request), StreamSilence, onEvent);
+  if (*stopped)
+    co_return;
+  if (!how && !end.Reached)
+    how = EngineEnd::Unreached;
+  if (!how && end.Status == 409)
+    how = EngineEnd::Unresumable;
+  if (!how && end.Status == 503)
+    how = EngineEnd::Refused;
+  dispatch(EngineStreamEnded{id, how.value_or(EngineEnd::Lost)});
+  const std::lock_guard guard(CoreLock);
+  const auto it = Streams.find(id);
+  if (it != Streams.end() && it->second == stopped)
+    Streams.erase(it);
+}
+
+asio::awaitable<void> Shell::stopStream(std::string target) {
+  for (int i = 0; i < StopTries; ++i) {
+    http::Request request{"POST", target, {}, {}};
+    const auto fetched =
+        co_await http::fetch(Settings.Backend, std::move(request), StopLimit);
+    if (ok(fetched.Answer))
+      co_return;
+    co_await sleepFor(StopLimit / 4);
+  }
+}
+
+asio::awaitable<void> Shell::runCall(CallService call) {
+  http::Request request{call.Call.method(),
+                        call.Call.path(),
+                        {{"Content-Type", "application/json"},
+                         {"X-Organisation", call.Call.organisation()}},
+                        call.Call.body()};
+  const auto fetched =
+      co_await http::fetch(Settings.Backend, std::move(request), CallLimit);
+  CallEnded ended{call.RequestId, fetched.Reached, ok(fetched.Answer), {}};
+  if (ended.Answered) {
+    const http::Response &response = value(fetched.Answer);
+    ended.Reply.set_status(static_cast<std::uint32_t>(response.Status));
+    ended.Reply.set_content_type(response.ContentType);
+    ended.Reply.set_body(response.Body);
+  }
+  dispatch(std::move(ended));
+}
+
+asio::awaitable<void> Shell::load(LoadOnEngine order) {
+  Json models = Json::array();
+  for (const plan::LoadedModel &m : order.Models)
+    models.push_back(
+        {{"model", m.Model}, {"version", m.Version}, {"adapters", m.Adapters}});
+  http::Request request{
+      "POST",
+      "/v1/models",
+      {},
+      Json{{"fence", order.Fence}, {"models", models}}.dump()};
+  const auto fetched =
+      co_await http::fetch(Settings.Backend, std::move(request), LoadLimit);
+  const int status = ok(fetched.Answer) ? value(fetched.Answer).Status : 0;
+  base::Log("agent.place").info("load fence={} status={}", order.Fence, status);
+}
+
+asio::awaitable<void> Shell::tickLoop() {
+  for (;;) {
+    co_await sleepFor(TickEvery);
+    dispatch(Tick{});
+    if (mayFinish()) {
+      base::Log("agent.drain").info("drained: stopping");
+      Runtime.finish();
+      co_return;
+    }
+  }
+}
+
+bool Shell::mayFinish() {
+  if (!IsLeaving)
+    return false;
+  const std::lock_guard guard(CoreLock);
+  const base::Instant now = Time.now().Steady;
+  if (TheCore->hasWork())
+    DrainedAt = {};
+  else if (DrainedAt == base::Instant{})
+    DrainedAt = now;
+  return DrainedAt != base::Instant{} && now - DrainedAt > LingerAfterDrain;
+}
+
+asio::awaitable<ServerObserved> Shell::observeEngine() {
+  ServerObserved seen;
+  http::Request request{"GET", "/v1/load", {}, {}};
+  const auto fetched =
+      co_await http::fetch(Settings.Backend, std::move(request), ObserveLimit);
+  if (!ok(fetched.Answer) || value(fetched.Answer).Status != 200)
+    co_return seen;
+  const Json json = Json::parse(value(fetched.Answer).Body, nullptr, false);
+  try {
+    seen.CapacityTokens = json.at("capacityTokens").get<std::uint64_t>();
+    seen.Models = modelsFrom(json.at("models"));
+    const double step = json.at("plainStepMs").get<double>();
+    const double token = json.at("prefillTokenMs").get<double>();
+    constexpr std::uint32_t Sample = 1'000;
+    const auto nanos = [](double ms) {
+      return base::Duration(static_cast<std::int64_t>(ms * 1e6));
+    };
+    dispatch(StepObserved{nanos(step), 0});
+    dispatch(StepObserved{nanos(step + token * Sample), Sample});
+    seen.IsAlive = true;
+  } catch (const Json::exception &e) {
+    base::Log("agent.engine").warn("malformed load report: {}", e.what());
+  }
+  co_return seen;
+}
+
+asio::awaitable<ServerObserved> Shell::observeService() {
+  ServerObserved seen;
+  http::Request request{"GET", "/healthz", {}, {}};
+  const auto fetched =
+      co_await http::fetch(Settings.Backend, std::move(request), ObserveLimit);
+  seen.IsAlive = ok(fetched.Answer) && value(fetched.Answer).Status == 200;
+  co_return seen;
+}
+
+asio::awaitable<void> Shell::observeLoop() {
+  const bool isEngine = Settings.Kind == bundle::ServiceKind::Engine;
+  // Streams of an earlier incarnation would run on unseen.
+  if (isEngine)
+    co_await stopStream("/v1/streams/stop-all");
+  int misses = 0;
+  for (;;) {
+    ServerObserved seen;
+    if (isEngine)
+      seen = co_await observeEngine();
+    else
+      seen = co_await observeService();
+    misses = seen.IsAlive ? 0 : misses + 1;
+    if (seen.IsAlive || misses >= MissesUntilDead)
+      dispatch(std::move(seen));
+    updateMetrics();
+    co_await sleepFor(ObserveEvery);
+  }
+}
+
+void Shell::updateMetrics() {
+  SchedulerLoad load;
+  wire::Versions versions;
+  {
+    const std::lock_guard guard(CoreLock);
+    load = TheCore->load();
+    versions = TheCore->documents().versions();
+  }
+  Metrics.set("drumlanding_running", load.Running);
+  Metrics.set("drumlanding_waiting", load.Waiting);
+  Metrics.set("drumlanding_document_version",
+              static_cast<double>(versions.bundle()), {{"document", "bundle"}});
+  Metrics.set("drumlanding_document_version",
+              static_cast<double>(versions.plan()), {{"document", "plan"}});
+  const wire::LinkCounters &counters = Control->counters();
+  Metrics.set("drumlanding_control_bytes",
+              static_cast<double>(counters.BytesIn), {{"direction", "in"}});
+  Metrics.set("drumlanding_control_bytes",
+              static_cast<double>(counters.BytesOut), {{"direction", "out"}});
+  Metrics.set("drumlanding_rejected_messages",
+              static_cast<double>(counters.Rejected));
+}
+
+asio::awaitable<void> Shell::admin(http::Request request, http::Exchange &x) {
+  const auto isReady = [this] {
+    const std::lock_guard guard(CoreLock);
+    return TheCore->serverState() == ServerState::Serving;
+  };
+  auto page = daemon::operatorsPage(request, Metrics, isReady);
+  if (!page)
+    page = http::Response{404, "text/plain", "There is no such page.\n", {}};
+  co_await x.send(std::move(*page));
+}
+
+} // namespace drumlanding::agent
--- /dev/null
+++ b/src/bundle/json-reader.cc
@@ -0,0 +1,114 @@
+#include "json-reader.h"
+
+#include "drumlanding/base/settings.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace drumlanding::bundle {
+namespace {
+
+const nlohmann::json EmptyObject = nlohmann::json::object();
+
+std::string_view nameOf(nlohmann::json::value_t type) {
+  switch (type) {
+  case nlohmann::json::value_t::string:
+    return "a text is expected";
+  case nlohmann::json::value_t::array:
+    return "a list is expected";
+  case nlohmann::json::value_t::object:
+    return "an object is expected";
+  default:
+    return "another type is expected";
+  }
+}
+
+} // namespace
+
+std::string JsonReader::pathOf(std::string_view key) const {
+  return Path.empty() ? std::string(key) : Path + "." + std::string(key);
+}
+
+void JsonReader::fail(const std::string &path,
+                      const std::string &message) const {
+  if (!Failure)
+    Failure = base::invalid(path, message);
+}
+
+const nlohmann::json *JsonReader::member(std::string_view key,
+                                         Json::value_t type) const {
+  const auto it = Here.find(key);
+  if (it == Here.end()) {
+    fail(pathOf(key), "is missing");
+    return nullptr;
+  }
+  if (it->type() == type)
+    return &*it;
+  fail(pathOf(key), std::string(nameOf(type)));
+  return nullptr;
+}
+
+std::string JsonReader::text(std::string_view key) const {
+  const Json *found = member(key, Json::value_t::string);
+  return found ? found->get<std::string>() : std::string();
+}
+
+std::string JsonReader::name(std::string_view key) const {
+  std::string found = text(key);
+  const auto r = base::checkName(pathOf(key), found);
+  if (!ok(r))
+    fail(pathOf(key), base::error(r).Message);
+  return found;
+}
+
+double JsonReader::number(std::string_view key, Range range) const {
+  const auto it = Here.find(key);
+  if (it == Here.end()) {
+    fail(pathOf(key), "is missing");
+    return range.Least;
+  }
+  const bool inRange = it->is_number() && it->get<double>() >= range.Least &&
+                       it->get<double>() <= range.Most;
+  if (inRange)
+    return it->get<double>();
+  fail(pathOf(key), "a number from " + Json(range.Least).dump() + " to " +
+                        Json(range.Most).dump() + " is expected");
+  return range.Least;
+}
+
+std::int64_t JsonReader::integer(std::string_view key, Range range) const {
+  const double found = number(key, range);
+  if (std::floor(found) != found)
+    fail(pathOf(key), "a whole number is expected");
+  return static_cast<std::int64_t>(found);
+}
+
+std::vector<std::string> JsonReader::names(std::string_view key) const {
+  std::vector<std::string> found;
+  const Json *array = member(key, Json::value_t::array);
+  for (std::size_t i = 0; array && i < array->size(); ++i) {
+    const std::string at = pathOf(key) + "[" + std::to_string(i) + "]";
+    if (!(*array)[i].is_string()) {
+      fail(at, "a text is expected");
+      return found;
+    }
+    found.push_back((*array)[i].get<std::string>());
+    if (const auto r = base::checkName(at, found.back()); !ok(r))
+      fail(at, base::error(r).Message);
+  }
+  return found;
+}
+
+JsonReader JsonReader::object(std::string_view key) const {
+  const Json *found = member(key, Json::value_t::object);
+  return JsonReader(found ? *found : EmptyObject, pathOf(key), Failure);
+}
+
+void JsonReader::allowOnly(
+    std::initializer_list<std::string_view> known) const {
+  for (const auto &[key, ignored] : Here.items())
+    if (std::find(known.begin(), known.end(), key) == known.end())
+      fail(pathOf(key), "is not known");
+}
+
+} // namespace drumlanding::bundle
--- /dev/null
+++ b/src/bundle/json-reader.h
@@ -0,0 +1,65 @@
+/// Reads checked values out of a JSON document; the first error is kept with
+/// its path.
+#pragma once
+
+#include "drumlanding/base/result.h"
+
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace drumlanding::bundle {
+
+/// The least and most that a number may be.
+struct Range {
+  double Least = 0;
+  double Most = 0;
+};
+
+class JsonReader {
+public:
+  using Json = nlohmann::json;
+
+  JsonReader(const Json &json, std::string path, std::optional<base::Error> &e)
+      : Here(json), Path(std::move(path)), Failure(e) {}
+
+  std::string text(std::string_view key) const;
+  /// Text that is a name; see base::checkName.
+  std::string name(std::string_view key) const;
+  double number(std::string_view key, Range range) const;
+  /// As `number`, whole.
+  std::int64_t integer(std::string_view key, Range range) const;
+  std::vector<std::string> names(std::string_view key) const;
+
+  /// Calls `each` with a reader for every element of an array of objects.
+  template <typename F> void objects(std::string_view key, F each) const {
+    const Json *array = member(key, Json::value_t::array);
+    for (std::size_t i = 0; array && i < array->size(); ++i) {
+      const std::string at = pathOf(key) + "[" + std::to_string(i) + "]";
+      if (!(*array)[i].is_object()) {
+        fail(at, "an object is expected");
+        return;
+      }
+      each(JsonReader((*array)[i], at, Failure));
+    }
+  }
+  JsonReader object(std::string_view key) const;
+
+  bool has(std::string_view key) const { return Here.contains(key); }
+  /// Fails on a member that is not in `known`, since a misspelt one would be
+  /// ignored.
+  void allowOnly(std::initializer_list<std::string_view> known) const;
+  void fail(const std::string &path, const std::string &message) const;
+  std::string pathOf(std::string_view key) const;
+
+private:
+  const Json *member(std::string_view key, Json::value_t type) const;
+
+  const Json &Here;
+  std::string Path;
+  std::optional<base::Error> &Failure;
+};
+
+} // namespace drumlanding::bundle
--- /dev/null
+++ b/src/ctl/main.cc
@@ -0,0 +1,81 @@
+// drumlandingctl: the operators' command line.
+#include "commands.h"
+#include "roll-out.h"
+
+#include <cstdio>
+#include <gflags/gflags.h>
+#include <sodium.h>
+
+DEFINE_string(platform, "",
+              "[network] IP:port of the platform's service "
+              "(roll-out, status)");
+DEFINE_string(control_key, "",
+              "[security] shared key of the daemons "
+              "(status): 64 hexadecimal digits");
+DEFINE_string(key, "", "[signing] file with the secret key");
+DEFINE_string(role, "", "[signing] author or approver");
+DEFINE_string(out, "", "[signing] file to write; the input file if empty");
+DEFINE_bool(json, false, "[output] print JSON (status)");
+
+namespace {
+
+using namespace drumlanding;
+
+constexpr std::string_view Flags[] = {"platform", "control_key", "key",
+                                      "role",     "out",         "json"};
+constexpr std::string_view Synopsis =
+    "drumlandingctl: drives drumlanding by signed, versioned bundles\n"
+    "\n"
+    "  keygen NAME               make a key pair: NAME.key and NAME.pub\n"
+    "  control-key               make the shared key of the daemons\n"
+    "  credential                make an organisation's credential\n"
+    "  bundle check FILE         check a bundle\n"
+    "  bundle diff OLD NEW       show what differs\n"
+    "  bundle sign FILE          sign: --role author|approver --key FILE\n"
+    "  bundle roll-out FILE      put a signed bundle in force: --platform\n"
+    "  bundle status             who has which version: --platform "
+    "--control_key";
+
+int runBundle(ctl::Words words) {
+  const std::string verb = words.empty() ? "" : words[0];
+  const ctl::Words rest = words.empty() ? words : words.subspan(1);
+  if (verb == "check")
+    return ctl::checkBundle(rest);
+  if (verb == "diff")
+    return ctl::diffBundleFiles(rest);
+  if (verb == "sign")
+    return ctl::signBundle(rest, FLAGS_role, FLAGS_key, FLAGS_out);
+  if (verb != "roll-out" && verb != "status")
+    return ctl::fail(
+        base::invalid("bundle " + verb, "unknown; --help lists the commands"),
+        ctl::ExitWrongCall);
+  const auto platform = base::parseEndpoint("--platform", FLAGS_platform);
+  if (!ok(platform))
+    return ctl::fail(error(platform), ctl::ExitWrongCall);
+  if (verb == "roll-out")
+    return ctl::rollOut(rest, value(platform));
+  return ctl::status(value(platform), FLAGS_control_key, FLAGS_json);
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  if (sodium_init() < 0)
+    return ctl::ExitWrongCall;
+  const auto read = base::readSettings(argc, argv, Synopsis, Flags);
+  if (!ok(read))
+    base::exitOnBadSettings(error(read));
+  const ctl::Words words = value(read);
+  const std::string verb = words.empty() ? "" : words[0];
+  if (verb == "keygen")
+    return ctl::keygen(words.subspan(1));
+  if (verb == "control-key")
+    return ctl::controlKey();
+  if (verb == "credential")
+    return ctl::credential();
+  if (verb == "bundle")
+    return runBundle(words.subspan(1));
+  return ctl::fail(base::invalid(verb.empty() ? "drumlandingctl" : verb,
+                                 "no such command; --help lists them"),
+                   ctl::ExitWrongCall);
+}
--- /dev/null
+++ b/src/entry/api.cc
@@ -0,0 +1,200 @@
+#include "api.h"
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace drumlanding::entry {
+namespace {
+
+using base::Reason;
+using base::Refusal;
+using base::Result;
+using Json = nlohmann::json;
+
+constexpr std::string_view GenerationsPath = "/v1/generations";
+constexpr std::string_view ServicesPath = "/v1/services/";
+constexpr std::uint32_t DefaultMaxTokens = 4'096;
+constexpr std::size_t UuidLength = 36;
+constexpr std::string_view IdempotencyKey = "Idempotency-Key";
+
+std::string credentialOf(const http::Request &request) {
+  constexpr std::string_view Scheme = "Bearer ";
+  const std::string_view header = request.header("Authorization");
+  return header.starts_with(Scheme) ? std::string(header.substr(Scheme.size()))
+                                    : std::string();
+}
+
+/// Reads an optional member of the wanted type; fails on another type.
+template <typename T>
+Result<T> member(const Json &json, const char *key, T otherwise,
+                 bool (Json::*isType)() const noexcept, const char *type) {
+  const auto it = json.find(key);
+  if (it == json.end())
+    return otherwise;
+  if (!((*it).*isType)())
+    return base::invalid(key, std::string(type) + " is expected");
+  return it->template get<T>();
+}
+
+Result<CallerRequest> readGeneration(const http::Request &request) {
+  const Json json = Json::parse(request.Body, nullptr, false);
+  if (!json.is_object())
+    return base::invalid("body", "a JSON object is expected");
+  for (const auto &[key, ignored] : json.items())
+    if (key != "model" && key != "version" && key != "adapter" &&
+        key != "prompt" && key != "maxTokens" && key != "stream" &&
+        key != "repeatable")
+      return base::invalid(key, "is not known");
+  const std::string none;
+  const auto text = [&](const char *key) {
+    return member<std::string>(json, key, none, &Json::is_string, "a text");
+  };
+  const auto flag = [&](const char *key) {
+    return member<bool>(json, key, true, &Json::is_boolean, "true or false");
+  };
+  GenerationRequest made;
+  GenerationAsked &asked = made.Asked;
+  for (const auto &[key, target] :
+       {std::pair("model", &asked.Model), std::pair("version", &asked.Version),
+        std::pair("adapter", &asked.Adapter),
+        std::pair("prompt", &asked.Prompt)}) {
+    const auto r = text(key);
+    if (!ok(r))
+      return error(r);
+    *target = value(r);
+  }
+  if (asked.Model.empty() || asked.Prompt.empty())
+    return base::invalid(asked.Model.empty() ? "model" : "prompt",
+                         "is missing");
+  const auto stream = flag("stream");
+  const auto repeatable = flag("repeatable");
+  if (!ok(stream) || !ok(repeatable))
+    return ok(stream) ? error(repeatable) : error(stream);
+  made.Stream = value(stream);
+  asked.Repeatable = value(repeatable);
+  const auto most = member<std::uint32_t>(json, "maxTokens", DefaultMaxTokens,
+                                          &Json::is_number_unsigned,
+                                          "a whole number above 0");
+  if (!ok(most))
+    return error(most);
+  if (value(most) == 0)
+    return base::invalid("maxTokens", "a whole number above 0 is expected");
+  asked.MaxTokens = value(most);
+  asked.Credential = credentialOf(request);
+  return made;
+}
+
+Result<CallerRequest> readResume(const http::Request &request,
+                                 std::string_view id) {
+  ResumeAsked asked;
+  asked.Credential = credentialOf(request);
+  asked.RequestId = std::string(id);
+  const std::string_view last = request.header("Last-Event-ID");
+  if (last.empty())
+    return asked;
+  std::uint32_t index = 0;
+  const auto [end, ec] =
+      std::from_chars(last.data(), last.data() + last.size(), index);
+  if (ec != std::errc() || end != last.data() + last.size())
+    return base::invalid("Last-Event-ID", "the index of a token is expected");
+  asked.NextIndex = index + 1;
+  return asked;
+}
+
+Result<CallerRequest> readCall(const http::Request &request) {
+  CallAsked asked;
+  std::string_view rest = request.Target;
+  rest.remove_prefix(ServicesPath.size());
+  const auto slash = rest.find('/');
+  asked.Service = std::string(rest.substr(0, slash));
+  asked.Path =
+      slash == std::string_view::npos ? "/" : std::string(rest.substr(slash));
+  asked.Credential = credentialOf(request);
+  asked.Method = request.Method;
+  asked.Body = request.Body;
+  const std::string_view said = request.header("Drumlanding-Repeatable");
+  if (!said.empty() && said != "true" && said != "false")
+    return base::invalid("Drumlanding-Repeatable", "true or false is expected");
+  const bool isRead = asked.Method == "GET" || asked.Method == "HEAD";
+  asked.Repeatable = said.empty() ? isRead : said == "true";
+  if (asked.Repeatable)
+    return asked;
+  asked.Key = std::string(request.header(IdempotencyKey));
+  const auto time = timeOfKey(asked.Key);
+  if (!ok(time))
+    return error(time);
+  asked.KeyTime = value(time);
+  return asked;
+}
+
+} // namespace
+
+Result<base::WallTime> timeOfKey(std::string_view uuid) {
+  const base::Error bad = base::invalid(
+      std::string(IdempotencyKey),
+      "a call that may not be repeated needs a UUID of version 7");
+  if (uuid.size() != UuidLength)
+    return bad;
+  std::string digits;
+  for (std::size_t i = 0; i < uuid.size(); ++i) {
+    const bool isDash = i == 8 || i == 13 || i == 18 || i == 23;
+    if (isDash != (uuid[i] == '-'))
+      return bad;
+    if (!isDash)
+      digits += uuid[i];
+  }
+  constexpr std::size_t VersionAt = 12;
+  constexpr std::size_t TimeDigits = 12;
+  if (!ok(base::parseHex("", digits, digits.size() / 2)) ||
+      digits[VersionAt] != '7')
+    return bad;
+  std::int64_t ms = 0;
+  std::from_chars(digits.data(), digits.data() + TimeDigits, ms, 16);
+  return base::WallTime(base::milliseconds(ms));
+}
+
+Result<CallerRequest> readCallerRequest(const http::Request &request) {
+  const std::string_view path = request.path();
+  if (path == GenerationsPath && request.Method == "POST")
+    return readGeneration(request);
+  if (path.starts_with(ServicesPath))
+    return readCall(request);
+  if (path.starts_with(GenerationsPath) &&
+      path.size() > GenerationsPath.size() + 1) {
+    const std::string_view id = path.substr(GenerationsPath.size() + 1);
+    if (request.Method == "GET")
+      return readResume(request, id);
+    if (request.Method == "DELETE")
+      return CancelAsked{0, credentialOf(request), std::string(id)};
+  }
+  return base::Error{base::ErrorCode::NotFound,
+                     request.Method + " " + std::string(path),
+                     "there is no such call"};
+}
+
+std::string refusalJson(const Refusal &why, std::string_view detail) {
+  const std::string_view sentence =
+      detail.empty() ? base::explain(why.Why) : detail;
+  return Json{{"error",
+               {{"verdict", toString(why.Outcome)},
+                {"reason", toString(why.Why)},
+                {"message", sentence},
+                {"retryAfterMs", why.RetryAfter.count()}}}}
+      .dump(-1, ' ', false, Json::error_handler_t::replace);
+}
+
+http::Response refusalResponse(const Refusal &why, std::string_view detail) {
+  http::Response response;
+  response.Status = base::httpStatus(why.Why);
+  response.ContentType = "application/json";
+  response.Body = refusalJson(why, detail) + "\n";
+  response.Headers = {
+      {"Drumlanding-Verdict", std::string(toString(why.Outcome))},
+      {"Drumlanding-Reason", std::string(toString(why.Why))}};
+  if (why.RetryAfter.count() > 0)
+    response.Headers.push_back(
+        {"Retry-After", std::to_string((why.RetryAfter.count() + 999) / 1000)});
+  return response;
+}
+
+} // namespace drumlanding::entry
--- /dev/null
+++ b/src/entry/core-attempts.cc
@@ -0,0 +1,333 @@
+// Attempts: choosing a backend server, lost replies, retries and verdicts.
+#include "drumlanding/entry/core.h"
+
+#include "drumlanding/agent/core.h"
+#include "drumlanding/entry/members.h"
+#include "drumlanding/wire/request-id.h"
+#include "entry-constants.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace drumlanding::entry {
+namespace {
+
+using base::Reason;
+using base::Refusal;
+using base::Result;
+using base::Verdict;
+
+/// A prompt's beginning of this many bytes is its prefix; shorter prompts are
+/// not worth a detour.
+constexpr std::size_t PrefixBytes = 256;
+constexpr double ExpectedOutputTokens = 360;
+
+std::uint64_t prefixHash(const GenerationAsked &e) {
+  if (e.Prompt.size() < PrefixBytes)
+    return 0;
+  return base::hash64(std::string_view(e.Prompt).substr(0, PrefixBytes),
+                      base::hash64(e.Model + "+" + e.Adapter));
+}
+
+/// True when the report says that the server holds what is asked for.
+bool holds(const wire::Report &report, const GenerationAsked &e) {
+  const std::string prefix = e.Model + "@" + e.Version;
+  return std::any_of(report.models().begin(), report.models().end(),
+                     [&](const std::string &name) {
+                       if (!name.starts_with(prefix))
+                         return false;
+                       const auto plus = name.find('+');
+                       const std::string adapter = plus == std::string::npos
+                                                       ? ""
+                                                       : name.substr(plus + 1);
+                       const std::string version = name.substr(
+                           e.Model.size() + 1, plus - e.Model.size() - 1);
+                       return adapter == e.Adapter &&
+                              (e.Version.empty() || version == e.Version);
+                     });
+}
+
+/// The answer to a request whose reply was lost and cannot be asked for.
+Refusal lost() { return {Verdict::MayHaveRun, Reason::AnswerLost, RetryBusy}; }
+
+/// Reads a refusal. Another incarnation than the one that the attempt was sent
+/// to cannot know what became of an earlier copy of it.
+Refusal refusalOf(std::uint64_t meant, const wire::Reply &reply) {
+  if (!reply.has_refused())
+    return lost();
+  Refusal why = refusalFrom(reply.refused());
+  if (why.Outcome == Verdict::NotRun && reply.incarnation() != meant)
+    return {Verdict::MayHaveRun, Reason::OtherIncarnation, RetryBusy};
+  return why;
+}
+
+} // namespace
+
+bool Core::chooseServer(base::Now now, Session &s) {
+  const auto bundle = Documents.bundle();
+  if (s.Call && !s.Call->Repeatable) {
+    // Only the key's owner may run it: it alone remembers.
+    const bundle::Service *service = bundle->service(s.Call->Service);
+    s.Server = service ? agent::ownerOfKey(service->Servers, s.RequestId) : "";
+    const Member *owner = Peers->find(s.Server);
+    return owner && owner->Incarnation != 0;
+  }
+  const bundle::Service *service =
+      s.Generation ? bundle->serviceOfModel(s.Generation->Model)
+                   : bundle->service(s.Call->Service);
+  if (!service)
+    return false;
+  const auto &members = Peers->ofService(service->Name);
+  std::vector<ServerView> views;
+  views.reserve(members.size());
+  for (const Member *m : members) {
+    const bool wasTried =
+        std::find(s.Tried.begin(), s.Tried.end(), m->Vm.Name) != s.Tried.end();
+    const bool isUsable = m->isUsable(now.Steady) && !wasTried &&
+                          (!s.Generation || holds(m->Report, *s.Generation));
+    views.push_back({m->NameHash, isUsable, m->DistanceMs,
+                     m->Report.used_tokens(), m->Report.capacity_tokens(),
+                     m->Report.waiting(), m->ReportedAt, m->SentSince});
+  }
+  RouteQuery query;
+  if (s.Generation) {
+    query.PrefixHash = prefixHash(*s.Generation);
+    query.RequestTokens =
+        promptTokens(s.Generation->Prompt) + ExpectedOutputTokens;
+  }
+  const auto chosen = Routing.choose(views, query, now.Steady, Random);
+  if (!chosen)
+    return false;
+  Member &member = *members[*chosen];
+  ++member.SentSince;
+  s.Server = member.Vm.Name;
+  return true;
+}
+
+/// Asks an owner outside the subset for its incarnation, without which a "not
+/// run" of it would prove nothing; false when there is no such owner.
+bool Core::meetOwner(base::Now now, Session &s) {
+  const bool hasOneOwner = s.Call && !s.Call->Repeatable;
+  if (!hasOneOwner || !Peers->find(s.Server) || s.CatchUps >= MostCatchUps)
+    return false;
+  wire::Request request;
+  request.mutable_sync();
+  send(s.Server, std::move(request), {MessageKind::Sync, 0, "", ""}, SyncLimit);
+  ++s.CatchUps;
+  s.State = Phase::Backoff;
+  s.RetryAt = now.Steady + CatchUpWait;
+  return true;
+}
+
+void Core::attempt(base::Now now, Session &s) {
+  s.State = Phase::Starting;
+  s.Asks = 0;
+  if (s.Call && !s.Call->Repeatable)
+    s.RequestId = "key~" + s.Organisation + "~" + s.Call->Key;
+  if (!chooseServer(now, s)) {
+    if (meetOwner(now, s))
+      return;
+    giveUp(now, s, {Verdict::NotRun, Reason::NoBackendServer, RetryBusy});
+    return;
+  }
+  ++s.Tries;
+  const std::string nonce = base::randomId();
+  const Member &member = *Peers->find(s.Server);
+  s.Incarnation = member.Incarnation;
+  if (s.Generation || s.Call->Repeatable)
+    s.RequestId =
+        toString(wire::RequestId{s.Server, member.Incarnation, nonce});
+  s.Attempt = s.Generation ? s.RequestId : nonce;
+  count("drumlanding_attempts_total");
+  note("entry.route",
+       fmt::format("route request={} organisation={} server={} place={} "
+                   "try={} used={} waiting={} sent_since={}",
+                   s.RequestId, s.Organisation, s.Server, member.Vm.Place,
+                   s.Tries, member.Report.used_tokens(),
+                   member.Report.waiting(), member.SentSince));
+  if (s.Generation)
+    sendStart(now, s);
+  else
+    sendCall(now, s);
+}
+
+void Core::sendStart(base::Now now, Session &s) {
+  const GenerationAsked &asked = *s.Generation;
+  wire::Request request;
+  wire::Start &start = *request.mutable_start();
+  start.set_request_id(s.RequestId);
+  start.set_organisation(s.Organisation);
+  start.set_model(asked.Model);
+  start.set_version(asked.Version);
+  start.set_adapter(asked.Adapter);
+  start.set_prompt(asked.Prompt);
+  start.set_prompt_tokens(promptTokens(asked.Prompt));
+  start.set_max_tokens(asked.MaxTokens);
+  start.set_incarnation(s.Incarnation);
+  start.set_not_after_ms((now.Wall + StartLimit).time_since_epoch().count());
+  send(s.Server, std::move(request), {MessageKind::Start, s.Id, "", s.Attempt},
+       ReplyLimit);
+}
+
+void Core::sendCall(base::Now now, Session &s) {
+  const CallAsked &asked = *s.Call;
+  wire::Request request;
+  wire::Call &call = *request.mutable_call();
+  call.set_request_id(s.RequestId);
+  call.set_attempt(s.Attempt);
+  call.set_organisation(s.Organisation);
+  call.set_method(asked.Method);
+  call.set_path(asked.Path);
+  call.set_body(asked.Body);
+  call.set_repeatable(asked.Repeatable);
+  call.set_key_time_ms(asked.KeyTime.time_since_epoch().count());
+  call.set_not_after_ms((now.Wall + StartLimit).time_since_epoch().count());
+  send(s.Server, std::move(request), {MessageKind::Call, s.Id, "", s.Attempt},
+       CallLimit);
+}
+
+void Core::sendRevoke(base::Now, Session &s) {
+  s.State = Phase::Asking;
+  ++s.Asks;
+  wire::Request request;
+  request.mutable_revoke()->set_request_id(s.RequestId);
+  if (s.Call)
+    request.mutable_revoke()->set_attempt(s.Attempt);
+  const MessageId sent =
+      send(s.Server, std::move(request),
+           {MessageKind::Revoke, s.Id, "", s.Attempt}, ReplyLimit);
+  note("entry.ask", fmt::format("ask request={} server={} time={}", s.RequestId,
+                                s.Server, s.Asks));
+  if (sent == 0)
+    s.Asks = MostAsks;
+}
+
+void Core::onStartReply(base::Now now, Session &s,
+                        const Result<wire::Reply> &r) {
+  if (!ok(r)) {
+    if (Options.On.AskAfterLostReplies)
+      sendRevoke(now, s);
+    else
+      retryOrGiveUp(now, s, {Verdict::NotRun, Reason::AnswerLost, RetryBusy});
+    return;
+  }
+  const wire::Reply &reply = value(r);
+  if (reply.has_accepted())
+    follow(now, s);
+  else
+    retryOrGiveUp(now, s, refusalOf(s.Incarnation, reply));
+}
+
+void Core::onCallReply(base::Now now, Session &s,
+                       const Result<wire::Reply> &r) {
+  if (!ok(r)) {
+    if (Options.On.AskAfterLostReplies)
+      sendRevoke(now, s);
+    else
+      retryOrGiveUp(now, s, {Verdict::NotRun, Reason::AnswerLost, RetryBusy});
+    return;
+  }
+  const wire::Reply &reply = value(r);
+  if (!reply.has_call()) {
+    retryOrGiveUp(now, s, refusalOf(s.Incarnation, reply));
+    return;
+  }
+  Out.push_back(AnswerSession{s.Id, reply.call()});
+  count("drumlanding_requests_total", "verdict", toString(Verdict::Ran));
+  close(s.Id);
+}
+
+void Core::onAskReply(base::Now now, Session &s, const Result<wire::Reply> &r) {
+  if (!ok(r)) {
+    if (s.Asks < MostAsks)
+      sendRevoke(now, s);
+    else
+      retryOrGiveUp(now, s, lost());
+    return;
+  }
+  if (s.Call)
+    onCallReply(now, s, r);
+  else
+    onStartReply(now, s, r);
+}
+
+void Core::retryOrGiveUp(base::Now now, Session &s, Refusal why) {
+  s.MayHaveRun = s.MayHaveRun || why.Outcome == Verdict::MayHaveRun;
+  const bool isBehind =
+      why.Why == Reason::BundleBehind || why.Why == Reason::SenderBehind;
+  if (isBehind && s.CatchUps < MostCatchUps) {
+    catchUp(now, s, why);
+    return;
+  }
+  const bool isRepeatable =
+      s.Generation ? s.Generation->Repeatable : s.Call->Repeatable;
+  const bool isSafe =
+      why.Outcome == Verdict::NotRun ||
+      (why.Outcome == Verdict::MayHaveRun && isRepeatable && s.NextIndex == 0);
+  // Only the owner may run it, so another try would be the same one.
+  const bool hasOneOwner = s.Call && !s.Call->Repeatable;
+  const bool isFinal =
+      why.Why == Reason::Cancelled || why.Why == Reason::UnknownOrganisation;
+  if (!isSafe || hasOneOwner || isFinal || s.Tries >= MostTries) {
+    giveUp(now, s, why);
+    return;
+  }
+  if (Options.On.LimitRetries && !Budget.tryRetry()) {
+    giveUp(now, s, why);
+    return;
+  }
+  note("entry.retry",
+       fmt::format("retry request={} verdict={} reason={}", s.RequestId,
+                   toString(why.Outcome), toString(why.Why)));
+  s.Tried.push_back(s.Server);
+  unfollow(s);
+  attempt(now, s);
+}
+
+void Core::catchUp(base::Now now, Session &s, Refusal why) {
+  ++s.CatchUps;
+  --s.Tries;
+  s.State = Phase::Backoff;
+  s.RetryAt = now.Steady + CatchUpWait;
+  note("entry.retry", fmt::format("wait request={} reason={}", s.RequestId,
+                                  toString(why.Why)));
+}
+
+void Core::onAttachReply(base::Now now, Session &s,
+                         const Result<wire::Reply> &r) {
+  const auto id = wire::parseRequestId(s.RequestId);
+  const bool isOther = ok(r) && value(r).incarnation() != value(id).Incarnation;
+  if (isOther) {
+    // Its tokens died with the agent that held them.
+    giveUp(now, s, {Verdict::MayHaveRun, Reason::OtherIncarnation, {}});
+    return;
+  }
+  if (ok(r) && value(r).has_accepted()) {
+    follow(now, s);
+    return;
+  }
+  if (ok(r) && value(r).has_refused()) {
+    giveUp(now, s, refusalFrom(value(r).refused()));
+    return;
+  }
+  // The stream itself goes on; the caller may come back for it.
+  giveUp(now, s, {Verdict::MayHaveRun, Reason::BackendServerLost, RetryBusy});
+}
+
+void Core::onCancelReply(base::Now now, Session &s,
+                         const Result<wire::Reply> &r) {
+  if (ok(r) && value(r).has_accepted()) {
+    wire::CallReply done;
+    done.set_status(204);
+    Out.push_back(AnswerSession{s.Id, std::move(done)});
+    close(s.Id);
+    return;
+  }
+  if (ok(r) && value(r).has_refused()) {
+    giveUp(now, s, refusalFrom(value(r).refused()));
+    return;
+  }
+  giveUp(now, s, {Verdict::MayHaveRun, Reason::AnswerLost, RetryBusy});
+}
+
+} // namespace drumlanding::entry
--- /dev/null
+++ b/src/entry/shell.cc
@@ -0,0 +1,452 @@
+#include "shell.h"
+
+#include "drumlanding/base/hash.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <nlohmann/json.hpp>
+
+namespace drumlanding::entry {
+namespace {
+
+using base::milliseconds;
+using base::Reason;
+using base::Refusal;
+using base::Result;
+using base::Verdict;
+
+constexpr int ControlContexts = 64;
+constexpr milliseconds TickEvery{5};
+constexpr milliseconds ListEvery{1'000};
+constexpr milliseconds WatchWait{5'000};
+constexpr milliseconds RetryPlatform{500};
+/// Entries of a place that watch the key-value service themselves.
+constexpr std::size_t WatchersPerPlace = 2;
+/// Ticks between two refreshes of the metrics.
+constexpr int TicksPerMetrics = 100;
+/// An entry that leaves goes on this long after its last session.
+constexpr int TicksAfterLast = 100;
+constexpr std::size_t LargestBody = 4 << 20;
+
+asio::awaitable<void> sleepFor(milliseconds time) {
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  timer.expires_after(time);
+  boost::system::error_code ec;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+}
+
+/// Returns whether a session's last word is among the commands.
+bool isLast(const Command &command) {
+  return std::holds_alternative<EndStream>(command) ||
+         std::holds_alternative<RefuseSession>(command) ||
+         std::holds_alternative<AnswerSession>(command);
+}
+
+http::Response toResponse(const wire::CallReply &answer) {
+  return {static_cast<int>(answer.status()),
+          answer.content_type(),
+          answer.body(),
+          {{"Drumlanding-Verdict", std::string(toString(Verdict::Ran))}}};
+}
+
+std::vector<http::ServerEvent> toEvents(const DeliverTokens &c) {
+  std::vector<http::ServerEvent> events;
+  for (std::size_t i = 0; i < c.Tokens.size(); ++i)
+    events.push_back(
+        {std::to_string(c.FirstIndex + i), "token",
+         nlohmann::json(c.Tokens[i])
+             .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace)});
+  return events;
+}
+
+/// The session that a command is for.
+template <typename C> SessionId sessionOf(const C &c) { return c.Session; }
+
+} // namespace
+
+Shell::Shell(daemon::Runtime &runtime, ShellSettings settings)
+    : Runtime(runtime), Settings(std::move(settings)),
+      Platform(Settings.Platform) {
+  Platform.OnCall = [this](std::string_view call) {
+    Metrics.count("drumlanding_platform_calls_total",
+                  {{"call", std::string(call)}});
+  };
+}
+
+Result<std::unique_ptr<Shell>> Shell::start(daemon::Runtime &runtime,
+                                            ShellSettings settings) {
+  std::unique_ptr<Shell> shell(new Shell(runtime, std::move(settings)));
+  Shell &s = *shell;
+  CoreOptions options;
+  options.Name = s.Settings.Daemon.Name;
+  options.Place = s.Settings.Daemon.Place;
+  options.Trusted = s.Settings.Daemon.Trusted;
+  options.SubsetSize = s.Settings.SubsetSize;
+  options.Seed = base::secureRandom64();
+  options.Note = [](std::string_view part, std::string_view sentence) {
+    base::Log(std::string(part)).info("{}", sentence);
+  };
+  options.Count = [&s](std::string_view metric, std::string_view label,
+                       std::string_view value, double by) {
+    base::MetricLabels labels;
+    if (!label.empty())
+      labels.emplace(label, value);
+    s.Metrics.count(metric, labels, by);
+  };
+  s.TheCore = std::make_unique<Core>(std::move(options));
+  auto control = wire::Server::listen(
+      s.Settings.Daemon.ControlListen, s.Settings.Daemon.Key, ControlContexts,
+      [&s](wire::Request request, wire::Responder respond) {
+        asio::post(s.Runtime.io(), [&s, request = std::move(request),
+                                    respond = std::move(respond)]() mutable {
+          std::uint64_t id = 0;
+          {
+            const std::lock_guard guard(s.CoreLock);
+            id = s.NextReply++;
+            s.Responders.emplace(id, std::move(respond));
+          }
+          s.dispatch(PeerAsked{id, std::move(request)});
+        });
+      });
+  if (!ok(control))
+    return error(control);
+  s.Control = std::move(value(control));
+  http::ServerOptions http;
+  http.MaxBodyBytes = LargestBody;
+  http.TooLarge = refusalResponse({Verdict::NotRun, Reason::BodyTooLarge, {}});
+  http.Malformed =
+      refusalResponse({Verdict::NotRun, Reason::MalformedRequest, {}});
+  auto callers =
+      http::Server::listen(runtime.io(), s.Settings.Listen, std::move(http),
+                           [&s](http::Request r, http::Exchange &x) {
+                             return s.serve(std::move(r), x);
+                           });
+  if (!ok(callers))
+    return error(callers);
+  s.Callers = std::move(value(callers));
+  runtime.spawn(s.tickLoop());
+  runtime.spawn(s.listLoop());
+  s.Keeper = std::make_unique<PlanKeeper>(s.Platform, s.Settings.Daemon.Name,
+                                          [&s] { return s.planInput(); });
+  runtime.spawn(s.Keeper->run());
+  for (wire::DocumentKind kind : {wire::BUNDLE, wire::PLAN})
+    runtime.spawn(s.watchLoop(kind));
+  return shell;
+}
+
+void Shell::leave() {
+  IsLeaving = true;
+  dispatch(LeaveOrdered{});
+}
+
+void Shell::dispatch(Event event) {
+  const std::lock_guard guard(CoreLock);
+  for (Command &command : TheCore->handle(Time.now(), std::move(event)))
+    std::visit([&](auto &c) { execute(c); }, command);
+}
+
+wire::Client *Shell::linkTo(const std::string &peer, const base::Endpoint &to) {
+  Link &link = Links[peer];
+  if (link.Client && link.To == to)
+    return link.Client.get();
+  // A replaced VM has another address; the old link is closed elsewhere,
+  // since that waits for calls that may need CoreLock.
+  std::shared_ptr<wire::Client> old = std::move(link.Client);
+  asio::post(Runtime.io(), [old] {});
+  auto made = wire::Client::dial(to, Settings.Daemon.Key, LinkBytes);
+  if (!ok(made))
+    return nullptr;
+  link = {to, std::move(value(made))};
+  return link.Client.get();
+}
+
+void Shell::execute(SendMessage &c) {
+  const MessageId id = c.Message;
+  const auto deliver = [this, id](Result<wire::Reply> reply) {
+    asio::post(Runtime.io(), [this, id, reply = std::move(reply)]() mutable {
+      dispatch(ReplyArrived{id, std::move(reply)});
+    });
+  };
+  if (wire::Client *link = linkTo(c.Peer, c.To))
+    link->call(c.Request, c.Timeout, deliver);
+  else
+    deliver(base::Error{base::ErrorCode::Unavailable, c.Peer, "no link"});
+}
+
+void Shell::execute(ReplyToPeer &c) {
+  const auto node = Responders.extract(c.Reply);
+  if (!node.empty())
+    node.mapped()(c.Message);
+}
+
+void Shell::execute(ForgetPeer &c) {
+  const auto node = Links.extract(c.Peer);
+  if (node.empty())
+    return;
+  std::shared_ptr<wire::Client> old = std::move(node.mapped().Client);
+  asio::post(Runtime.io(), [old] {});
+}
+
+template <typename C> void Shell::execute(C &c) {
+  const auto it = Mailboxes.find(sessionOf(c));
+  if (it == Mailboxes.end())
+    return;
+  const std::shared_ptr<Mailbox> mailbox = it->second;
+  Command command(std::move(c));
+  if (isLast(command))
+    Mailboxes.erase(it);
+  mailbox->post(std::move(command));
+}
+
+asio::awaitable<void> Shell::serve(http::Request request, http::Exchange &x) {
+  const auto isReady = [this] {
+    const std::lock_guard guard(CoreLock);
+    return TheCore->isReady();
+  };
+  if (auto page = daemon::operatorsPage(request, Metrics, isReady)) {
+    co_await x.send(std::move(*page));
+    co_return;
+  }
+  auto read = readCallerRequest(request);
+  if (ok(read)) {
+    co_await serveCaller(std::move(value(read)), x);
+    co_return;
+  }
+  const bool isUnknown = error(read).Code == base::ErrorCode::NotFound;
+  const Reason why = isUnknown ? Reason::NotFound : Reason::MalformedRequest;
+  co_await x.send(
+      refusalResponse({Verdict::NotRun, why, {}}, describe(error(read))));
+}
+
+asio::awaitable<void> Shell::serveCaller(CallerRequest request,
+                                         http::Exchange &x) {
+  auto mailbox = std::make_shared<Mailbox>(co_await asio::this_coro::executor);
+  SessionId id = 0;
+  {
+    const std::lock_guard guard(CoreLock);
+    id = NextSession++;
+    Mailboxes.emplace(id, mailbox);
+  }
+  x.onGone([this, id] {
+    asio::post(Runtime.io(), [this, id] { dispatch(SessionClosed{id}); });
+  });
+  bool wantsEvents = true;
+  if (auto *generation = std::get_if<GenerationRequest>(&request)) {
+    generation->Asked.Session = id;
+    wantsEvents = generation->Stream;
+    dispatch(std::move(generation->Asked));
+  } else if (auto *resume = std::get_if<ResumeAsked>(&request)) {
+    resume->Session = id;
+    dispatch(std::move(*resume));
+  } else if (auto *cancel = std::get_if<CancelAsked>(&request)) {
+    cancel->Session = id;
+    dispatch(std::move(*cancel));
+  } else {
+    CallAsked &call = std::get<CallAsked>(request);
+    call.Session = id;
+    dispatch(std::move(call));
+  }
+  if (wantsEvents)
+    co_await answerEvents(*mailbox, x);
+  else
+    co_await answerWhole(*mailbox, x);
+  dispatch(SessionClosed{id});
+  const std::lock_guard guard(CoreLock);
+  Mailboxes.erase(id);
+}
+
+asio::awaitable<void> Shell::answerEvents(Mailbox &mailbox, http::Exchange &x) {
+  for (;;) {
+    std::vector<http::ServerEvent> events;
+    bool isOver = false;
+    for (Command &command : co_await mailbox.take()) {
+      if (auto *refused = std::get_if<RefuseSession>(&command)) {
+        co_await x.send(refusalResponse(refused->Why));
+        co_return;
+      }
+      if (auto *answered = std::get_if<AnswerSession>(&command)) {
+        co_await x.send(toResponse(answered->Answer));
+        co_return;
+      }
+      if (auto *begun = std::get_if<BeginStream>(&command)) {
+        std::vector<http::Header> headers;
+        headers.push_back({"Drumlanding-Generation", begun->RequestId});
+        if (!co_await x.beginEvents(std::move(headers)))
+          co_return;
+      }
+      if (auto *tokens = std::get_if<DeliverTokens>(&command))
+        for (http::ServerEvent &event : toEvents(*tokens))
+          events.push_back(std::move(event));
+      if (auto *end = std::get_if<EndStream>(&command)) {
+        isOver = true;
+        if (end->Failure)
+          events.push_back({"", "error", refusalJson(*end->Failure)});
+        else
+          events.push_back({"", "done", "{}"});
+      }
+    }
+    if (!events.empty() && !co_await x.events(std::move(events)))
+      co_return;
+    if (!isOver)
+      continue;
+    co_await x.endEvents();
+    co_return;
+  }
+}
+
+asio::awaitable<void> Shell::answerWhole(Mailbox &mailbox, http::Exchange &x) {
+  std::string id;
+  std::string text;
+  std::size_t tokens = 0;
+  for (;;) {
+    for (Command &command : co_await mailbox.take()) {
+      if (auto *refused = std::get_if<RefuseSession>(&command)) {
+        co_await x.send(refusalResponse(refused->Why));
+        co_return;
+      }
+      if (auto *begun = std::get_if<BeginStream>(&command))
+        id = begun->RequestId;
+      if (auto *delivered = std::get_if<DeliverTokens>(&command)) {
+        tokens += delivered->Tokens.size();
+        for (const std::string &token : delivered->Tokens)
+          text += token;
+      }
+      auto *end = std::get_if<EndStream>(&command);
+      if (!end)
+        continue;
+      if (end->Failure) {
+        co_await x.send(refusalResponse(*end->Failure));
+        co_return;
+      }
+      const nlohmann::json json{{"id", id}, {"text", text}, {"tokens", tokens}};
+      http::Response response{
+          200,
+          "application/json",
+          json.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) +
+              "\n",
+          {{"Drumlanding-Verdict", std::string(toString(Verdict::Ran))}}};
+      co_await x.send(std::move(response));
+      co_return;
+    }
+  }
+}
+
+asio::awaitable<void> Shell::tickLoop() {
+  int ticks = 0;
+  int idle = 0;
+  for (;;) {
+    co_await sleepFor(TickEvery);
+    dispatch(Tick{});
+    if (++ticks % TicksPerMetrics == 0)
+      updateMetrics();
+    bool hasSessions = false;
+    {
+      const std::lock_guard guard(CoreLock);
+      hasSessions = TheCore->hasSessions();
+    }
+    idle = IsLeaving && !hasSessions ? idle + 1 : 0;
+    if (idle < TicksAfterLast)
+      continue;
+    base::Log("entry.drain").info("no session is left: stopping");
+    Runtime.finish();
+    co_return;
+  }
+}
+
+asio::awaitable<void> Shell::listLoop() {
+  for (;;) {
+    auto vms = co_await Platform.vms();
+    if (ok(vms)) {
+      {
+        const std::lock_guard guard(CoreLock);
+        Listed = value(vms);
+      }
+      dispatch(VmsListed{std::move(value(vms))});
+    } else {
+      // The last list goes on; direct reports tell who lives.
+      base::Log("entry.members").debug("list: {}", describe(error(vms)));
+    }
+    co_await sleepFor(ListEvery);
+  }
+}
+
+bool Shell::isWatcher() {
+  const std::lock_guard guard(CoreLock);
+  const std::uint64_t own = base::hash64(Settings.Daemon.Name);
+  const auto isAhead = [&](const ListedVm &vm) {
+    return vm.Role == "entry" && vm.Place == Settings.Daemon.Place &&
+           base::hash64(vm.Name) > own;
+  };
+  const auto ahead = std::count_if(Listed.begin(), Listed.end(), isAhead);
+  return static_cast<std::size_t>(ahead) < WatchersPerPlace;
+}
+
+std::optional<PlanInput> Shell::planInput() {
+  const std::lock_guard guard(CoreLock);
+  PlanInput input;
+  input.Bundle = TheCore->documents().bundle();
+  if (!input.Bundle || IsLeaving)
+    return std::nullopt;
+  const auto plan = TheCore->documents().plan();
+  for (const ListedVm &vm : Listed) {
+    if (vm.Role != "agent")
+      continue;
+    input.Servers.push_back({vm.Name, vm.Service, vm.IsLeaving});
+    const plan::Assignment *assigned =
+        plan ? plan->assignment(vm.Name) : nullptr;
+    const Member *member = TheCore->members().find(vm.Name);
+    if (assigned && member && member->isUsable(Time.now().Steady))
+      input.IsSettled =
+          input.IsSettled && reportsAll(member->Report, *assigned);
+  }
+  return input;
+}
+
+asio::awaitable<void> Shell::watchLoop(wire::DocumentKind kind) {
+  const std::string_view key =
+      kind == wire::BUNDLE ? platform::BundleKey : platform::PlanKey;
+  std::uint64_t revision = 0;
+  for (;;) {
+    if (!isWatcher()) {
+      co_await sleepFor(ListEvery);
+      continue;
+    }
+    const auto entry = co_await Platform.watch(key, revision, WatchWait);
+    if (!ok(entry)) {
+      base::Log("entry.document").debug("watch: {}", describe(error(entry)));
+      co_await sleepFor(RetryPlatform);
+      continue;
+    }
+    if (value(entry).Revision == revision)
+      continue;
+    revision = value(entry).Revision;
+    dispatch(DocumentRead{kind, value(entry).Value});
+  }
+}
+
+void Shell::updateMetrics() {
+  std::size_t sessions = 0;
+  std::size_t servers = 0;
+  wire::Versions versions;
+  {
+    const std::lock_guard guard(CoreLock);
+    sessions = TheCore->sessions();
+    servers = TheCore->members().size();
+    versions = TheCore->documents().versions();
+  }
+  Metrics.set("drumlanding_open_streams", static_cast<double>(sessions));
+  Metrics.set("drumlanding_known_servers", static_cast<double>(servers));
+  Metrics.set("drumlanding_document_version",
+              static_cast<double>(versions.bundle()), {{"document", "bundle"}});
+  Metrics.set("drumlanding_document_version",
+              static_cast<double>(versions.plan()), {{"document", "plan"}});
+  Metrics.set("drumlanding_control_bytes",
+              static_cast<double>(LinkBytes->BytesIn), {{"direction", "in"}});
+  Metrics.set("drumlanding_control_bytes",
+              static_cast<double>(LinkBytes->BytesOut), {{"direction", "out"}});
+  Metrics.set("drumlanding_rejected_messages",
+              static_cast<double>(Control->counters().Rejected));
+}
+
+} // namespace drumlanding::entry
--- /dev/null
+++ b/src/wire/link.cc
@@ -0,0 +1,388 @@
+#include "drumlanding/wire/link.h"
+
+#include "drumlanding/base/hash.h"
+
+#include <algorithm>
+#include <mutex>
+#include <nng/nng.h>
+#include <nng/protocol/reqrep0/rep.h>
+#include <nng/protocol/reqrep0/req.h>
+#include <sodium.h>
+#include <vector>
+
+namespace drumlanding::wire {
+namespace {
+
+using base::Error;
+using base::ErrorCode;
+using base::Result;
+
+constexpr std::size_t MacBytes = 16;
+constexpr std::size_t LargestMessage = 4 << 20;
+constexpr nng_duration ReconnectMin = 50;
+constexpr nng_duration ReconnectMax = 1000;
+
+std::string macOf(const ControlKey &key, std::uint64_t nonce, bool isReply,
+                  std::string_view payload) {
+  crypto_generichash_state state;
+  crypto_generichash_init(
+      &state, reinterpret_cast<const unsigned char *>(key.Bytes.data()),
+      key.Bytes.size(), MacBytes);
+  const unsigned char direction = isReply ? 1 : 0;
+  crypto_generichash_update(&state, &direction, 1);
+  crypto_generichash_update(
+      &state, reinterpret_cast<const unsigned char *>(&nonce), sizeof nonce);
+  crypto_generichash_update(
+      &state, reinterpret_cast<const unsigned char *>(payload.data()),
+      payload.size());
+  std::string mac(MacBytes, '\0');
+  crypto_generichash_final(
+      &state, reinterpret_cast<unsigned char *>(mac.data()), MacBytes);
+  return mac;
+}
+
+std::string urlOf(const base::Endpoint &endpoint) {
+  return "tcp://" + base::toString(endpoint);
+}
+
+Error failure(const base::Endpoint &endpoint, int code) {
+  return {ErrorCode::Unavailable, base::toString(endpoint), nng_strerror(code)};
+}
+
+nng_msg *messageOf(const std::string &bytes) {
+  nng_msg *message = nullptr;
+  if (nng_msg_alloc(&message, 0) != 0)
+    return nullptr;
+  nng_msg_append(message, bytes.data(), bytes.size());
+  return message;
+}
+
+std::string_view bytesOf(nng_msg *message) {
+  return {static_cast<const char *>(nng_msg_body(message)),
+          nng_msg_len(message)};
+}
+
+} // namespace
+
+std::string seal(const ControlKey &key, std::uint64_t nonce, bool isReply,
+                 const std::string &payload) {
+  Envelope envelope;
+  envelope.set_nonce(nonce);
+  envelope.set_mac(macOf(key, nonce, isReply, payload));
+  envelope.set_payload(payload);
+  return envelope.SerializeAsString();
+}
+
+Result<Opened> open(const ControlKey &key, bool isReply,
+                    std::string_view bytes) {
+  Envelope envelope;
+  if (!envelope.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())))
+    return base::invalid("envelope", "malformed");
+  const std::string mac =
+      macOf(key, envelope.nonce(), isReply, envelope.payload());
+  if (envelope.mac().size() != MacBytes ||
+      sodium_memcmp(mac.data(), envelope.mac().data(), MacBytes) != 0)
+    return Error{ErrorCode::Forbidden, "envelope", "wrong key"};
+  return Opened{envelope.nonce(), std::move(*envelope.mutable_payload())};
+}
+
+/// One request that a server holds at a time: receive, handle, send.
+struct ServerSlot {
+  nng_ctx Context = NNG_CTX_INITIALIZER;
+  nng_aio *Aio = nullptr;
+  bool Sending = false;
+  Server::State *Owner = nullptr;
+};
+
+struct Server::State : std::enable_shared_from_this<Server::State> {
+  nng_socket Socket = NNG_SOCKET_INITIALIZER;
+  ControlKey Key;
+  RequestHandler Handler;
+  LinkCounters Counters;
+  /// Guards Closed and every start of an operation; never held in Handler.
+  std::mutex Lock;
+  bool Closed = false;
+  std::vector<std::unique_ptr<ServerSlot>> Slots;
+
+  static void onAio(void *slot) {
+    auto &s = *static_cast<ServerSlot *>(slot);
+    s.Owner->advance(s);
+  }
+  void receive(ServerSlot &slot);
+  void send(ServerSlot &slot, std::uint64_t nonce, const Reply &reply);
+  void advance(ServerSlot &slot);
+};
+
+namespace {
+
+/// Answers once; an unused one frees its slot for the next request.
+class ReplyTicket {
+public:
+  ReplyTicket(std::weak_ptr<Server::State> owner, ServerSlot &slot,
+              std::uint64_t nonce)
+      : Owner(std::move(owner)), Slot(slot), Nonce(nonce) {}
+  ReplyTicket(const ReplyTicket &) = delete;
+  ReplyTicket &operator=(const ReplyTicket &) = delete;
+  ~ReplyTicket() {
+    if (Used.exchange(true))
+      return;
+    if (auto owner = Owner.lock())
+      owner->receive(Slot);
+  }
+  void send(const Reply &reply) {
+    if (Used.exchange(true))
+      return;
+    if (auto owner = Owner.lock())
+      owner->send(Slot, Nonce, reply);
+  }
+
+private:
+  std::weak_ptr<Server::State> Owner;
+  ServerSlot &Slot;
+  std::uint64_t Nonce;
+  std::atomic<bool> Used{false};
+};
+
+} // namespace
+
+void Server::State::receive(ServerSlot &slot) {
+  const std::lock_guard guard(Lock);
+  if (Closed)
+    return;
+  slot.Sending = false;
+  nng_ctx_recv(slot.Context, slot.Aio);
+}
+
+void Server::State::send(ServerSlot &slot, std::uint64_t nonce,
+                         const Reply &reply) {
+  const std::string bytes = seal(Key, nonce, true, reply.SerializeAsString());
+  const std::lock_guard guard(Lock);
+  if (Closed)
+    return;
+  Counters.BytesOut += bytes.size();
+  slot.Sending = true;
+  nng_aio_set_msg(slot.Aio, messageOf(bytes));
+  nng_ctx_send(slot.Context, slot.Aio);
+}
+
+void Server::State::advance(ServerSlot &slot) {
+  const int code = nng_aio_result(slot.Aio);
+  if (slot.Sending) {
+    if (code != 0)
+      nng_msg_free(nng_aio_get_msg(slot.Aio));
+    receive(slot);
+    return;
+  }
+  if (code == NNG_ECLOSED || code == NNG_ECANCELED)
+    return;
+  if (code != 0) {
+    receive(slot);
+    return;
+  }
+  nng_msg *message = nng_aio_get_msg(slot.Aio);
+  Counters.BytesIn += nng_msg_len(message);
+  Result<Opened> opened = open(Key, false, bytesOf(message));
+  nng_msg_free(message);
+  Request request;
+  if (!ok(opened) || !request.ParseFromString(value(opened).Payload)) {
+    ++Counters.Rejected;
+    receive(slot);
+    return;
+  }
+  auto ticket = std::make_shared<ReplyTicket>(weak_from_this(), slot,
+                                              value(opened).Nonce);
+  Handler(std::move(request),
+          [ticket](const Reply &reply) { ticket->send(reply); });
+}
+
+Result<std::unique_ptr<Server>> Server::listen(const base::Endpoint &endpoint,
+                                               ControlKey key, int contexts,
+                                               RequestHandler handler) {
+  auto state = std::make_shared<State>();
+  state->Key = std::move(key);
+  state->Handler = std::move(handler);
+  if (const int code = nng_rep0_open(&state->Socket); code != 0)
+    return failure(endpoint, code);
+  nng_socket_set_size(state->Socket, NNG_OPT_RECVMAXSZ, LargestMessage);
+  if (const int code =
+          nng_listen(state->Socket, urlOf(endpoint).c_str(), nullptr, 0);
+      code != 0) {
+    nng_close(state->Socket);
+    return failure(endpoint, code);
+  }
+  for (int i = 0; i < contexts; ++i) {
+    auto slot = std::make_unique<ServerSlot>();
+    slot->Owner = state.get();
+    nng_ctx_open(&slot->Context, state->Socket);
+    nng_aio_alloc(&slot->Aio, &State::onAio, slot.get());
+    state->Slots.push_back(std::move(slot));
+  }
+  for (auto &slot : state->Slots)
+    state->receive(*slot);
+  return std::unique_ptr<Server>(new Server(std::move(state)));
+}
+
+Server::~Server() {
+  {
+    const std::lock_guard guard(S->Lock);
+    S->Closed = true;
+  }
+  nng_close(S->Socket);
+  for (auto &slot : S->Slots) {
+    nng_aio_stop(slot->Aio);
+    nng_aio_free(slot->Aio);
+  }
+}
+
+const LinkCounters &Server::counters() const { return S->Counters; }
+
+/// One request on its way; kept and used again.
+struct ClientCall {
+  nng_ctx Context = NNG_CTX_INITIALIZER;
+  nng_aio *Aio = nullptr;
+  bool Sending = false;
+  std::uint64_t Nonce = 0;
+  base::Instant Deadline;
+  ReplyHandler Done;
+  Client::State *Owner = nullptr;
+};
+
+struct Client::State {
+  nng_socket Socket = NNG_SOCKET_INITIALIZER;
+  ControlKey Key;
+  base::Endpoint Peer;
+  std::shared_ptr<LinkCounters> Counters;
+  base::SystemClock Time;
+  /// Guards Closed, Calls and Free; never held while a handler runs.
+  std::mutex Lock;
+  bool Closed = false;
+  std::vector<std::unique_ptr<ClientCall>> Calls;
+  std::vector<ClientCall *> Free;
+
+  static void onAio(void *call) {
+    auto &c = *static_cast<ClientCall *>(call);
+    c.Owner->advance(c);
+  }
+  ClientCall *take();
+  void advance(ClientCall &call);
+  void finish(ClientCall &call, Result<Reply> result);
+};
+
+ClientCall *Client::State::take() {
+  if (!Free.empty()) {
+    ClientCall *call = Free.back();
+    Free.pop_back();
+    return call;
+  }
+  auto call = std::make_unique<ClientCall>();
+  call->Owner = this;
+  if (nng_ctx_open(&call->Context, Socket) != 0)
+    return nullptr;
+  nng_aio_alloc(&call->Aio, &State::onAio, call.get());
+  Calls.push_back(std::move(call));
+  return Calls.back().get();
+}
+
+void Client::State::finish(ClientCall &call, Result<Reply> result) {
+  ReplyHandler done = std::move(call.Done);
+  call.Done = nullptr;
+  {
+    const std::lock_guard guard(Lock);
+    Free.push_back(&call);
+  }
+  done(std::move(result));
+}
+
+void Client::State::advance(ClientCall &call) {
+  const int code = nng_aio_result(call.Aio);
+  if (code != 0) {
+    if (call.Sending)
+      nng_msg_free(nng_aio_get_msg(call.Aio));
+    finish(call, Error{ErrorCode::TimedOut, base::toString(Peer),
+                       nng_strerror(code)});
+    return;
+  }
+  if (call.Sending) {
+    call.Sending = false;
+    const auto left = base::toMs(call.Deadline - Time.now().Steady);
+    nng_aio_set_timeout(
+        call.Aio, static_cast<nng_duration>(std::max<std::int64_t>(left, 1)));
+    nng_ctx_recv(call.Context, call.Aio);
+    return;
+  }
+  nng_msg *message = nng_aio_get_msg(call.Aio);
+  Counters->BytesIn += nng_msg_len(message);
+  Result<Opened> opened = open(Key, true, bytesOf(message));
+  nng_msg_free(message);
+  Reply reply;
+  if (!ok(opened) || value(opened).Nonce != call.Nonce ||
+      !reply.ParseFromString(value(opened).Payload)) {
+    ++Counters->Rejected;
+    finish(call, Error{ErrorCode::TimedOut, base::toString(Peer),
+                       "the reply is not authentic"});
+    return;
+  }
+  finish(call, std::move(reply));
+}
+
+Client::Client(std::unique_ptr<State> s) : S(std::move(s)) {}
+
+Result<std::unique_ptr<Client>>
+Client::dial(const base::Endpoint &endpoint, ControlKey key,
+             std::shared_ptr<LinkCounters> counters) {
+  auto state = std::make_unique<State>();
+  state->Key = std::move(key);
+  state->Peer = endpoint;
+  state->Counters = std::move(counters);
+  if (const int code = nng_req0_open(&state->Socket); code != 0)
+    return failure(endpoint, code);
+  nng_socket_set_size(state->Socket, NNG_OPT_RECVMAXSZ, LargestMessage);
+  nng_socket_set_ms(state->Socket, NNG_OPT_RECONNMINT, ReconnectMin);
+  nng_socket_set_ms(state->Socket, NNG_OPT_RECONNMAXT, ReconnectMax);
+  // Repeats are decided by the cores, never by the transport.
+  nng_socket_set_ms(state->Socket, NNG_OPT_REQ_RESENDTIME,
+                    NNG_DURATION_INFINITE);
+  if (const int code = nng_dial(state->Socket, urlOf(endpoint).c_str(), nullptr,
+                                NNG_FLAG_NONBLOCK);
+      code != 0) {
+    nng_close(state->Socket);
+    return failure(endpoint, code);
+  }
+  return std::unique_ptr<Client>(new Client(std::move(state)));
+}
+
+Client::~Client() {
+  {
+    const std::lock_guard guard(S->Lock);
+    S->Closed = true;
+  }
+  nng_close(S->Socket);
+  for (auto &call : S->Calls) {
+    nng_aio_stop(call->Aio);
+    nng_aio_free(call->Aio);
+  }
+}
+
+void Client::call(const Request &request, base::milliseconds timeout,
+                  ReplyHandler done) {
+  const std::uint64_t nonce = base::secureRandom64();
+  const std::string bytes =
+      seal(S->Key, nonce, false, request.SerializeAsString());
+  std::unique_lock guard(S->Lock);
+  ClientCall *call = S->Closed ? nullptr : S->take();
+  if (!call) {
+    guard.unlock();
+    done(Error{ErrorCode::Unavailable, base::toString(S->Peer), "closed"});
+    return;
+  }
+  call->Nonce = nonce;
+  call->Done = std::move(done);
+  call->Sending = true;
+  call->Deadline = S->Time.now().Steady + timeout;
+  S->Counters->BytesOut += bytes.size();
+  nng_aio_set_timeout(call->Aio, static_cast<nng_duration>(timeout.count()));
+  nng_aio_set_msg(call->Aio, messageOf(bytes));
+  nng_ctx_send(call->Context, call->Aio);
+}
+
+} // namespace drumlanding::wire
--- /dev/null
+++ b/support/check-lint.sh
@@ -0,0 +1,27 @@
+#!/usr/bin/env bash
+# Runs the linter over all sources but generated ones. A file that is clean is
+# not checked again until it, a header or the rules change.
+set -u
+cd "$(dirname "$0")/.." || exit 1
+BUILD=${BUILD:-build}
+export BUILD STATE
+STATE=$( (cat .clang-tidy CMakeLists.txt; git ls-files -co --exclude-standard \
+  '*.h' | sort | xargs cat) | sha256sum | cut -c1-16)
+mkdir -p "$BUILD/lint"
+check() {
+  local mark
+  mark=$BUILD/lint/$( (echo "$STATE $1"; cat "$1") | sha256sum | cut -c1-32)
+  [ -e "$mark" ] && return 0
+  # GCC's coroutine header asks for this macro, which clang 14 leaves out.
+  clang-tidy --quiet -p "$BUILD" \
+    --extra-arg=-D__cpp_impl_coroutine=201902L \
+    --extra-arg=-Wno-unknown-warning-option "$1" 2>"$mark.log" >"$mark.out"
+  local code=$?
+  grep -E "(warning|error):" "$mark.out"
+  [ $code = 0 ] && touch "$mark"
+  rm -f "$mark.log" "$mark.out"
+  return $code
+}
+export -f check
+git ls-files -co --exclude-standard '*.cc' | grep -v '\.pb\.' |
+  xargs -P "$(nproc)" -I{} bash -c 'check {}'
--- /dev/null
+++ b/support/run-tests.sh
@@ -0,0 +1,28 @@
+#!/usr/bin/env bash
+# Runs the tests and judges them: a failure that KNOWN-RED.txt lists is printed
+# and passed over, every other one fails the run. A listed test that passes
+# fails the run too, since its line must go.
+set -u
+ROOT=$(cd "$(dirname "$0")/.." && pwd)
+BUILD=${1:-$ROOT/build}
+known=()
+if [ -f "$ROOT/KNOWN-RED.txt" ]; then
+  mapfile -t known < <(grep -v '^#' "$ROOT/KNOWN-RED.txt" | cut -d: -f1)
+fi
+if [ ${#known[@]} -gt 3 ]; then
+  echo "KNOWN-RED.txt lists more than three tests"
+  exit 1
+fi
+code=0
+if [ ${#known[@]} -gt 0 ]; then
+  pattern=$(IFS='|'; echo "^(${known[*]})$")
+  cat "$ROOT/KNOWN-RED.txt"
+  if ctest --test-dir "$BUILD" -R "$pattern" --output-on-failure; then
+    echo "a test that KNOWN-RED.txt lists passes: take its line out"
+    code=1
+  fi
+  ctest --test-dir "$BUILD" -E "$pattern" --output-on-failure || code=1
+else
+  ctest --test-dir "$BUILD" --output-on-failure || code=1
+fi
+exit $code
--- /dev/null
+++ b/test/bundle-test.cc
@@ -0,0 +1,105 @@
+#include "drumlanding/bundle/bundle.h"
+#include "drumlanding/bundle/signature.h"
+#include "drumlanding/plan/document-store.h"
+
+#include "test-bundles.h"
+
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+namespace drumlanding::bundle {
+namespace {
+
+using Json = nlohmann::json;
+
+std::string whereOfError(const Json &json) {
+  const auto r = parseBundle(json.dump());
+  return ok(r) ? "" : error(r).Where;
+}
+
+TEST(Bundle, ExampleIsRead) {
+  const auto r = parseBundle(test::exampleJson(3).dump());
+  ASSERT_TRUE(ok(r)) << describe(error(r));
+  EXPECT_EQ(value(r).Version, 3U);
+  EXPECT_EQ(value(r).serviceOfModel("tutor-llm")->Name, "tutor-llm");
+  EXPECT_DOUBLE_EQ(value(r).oneWayMs("hall-b", "hall-a"), 1.5);
+}
+
+TEST(Bundle, ErrorsNameTheirPath) {
+  Json json = test::exampleJson(1);
+  json["organisations"][1]["contract"]["share"] = -1;
+  EXPECT_EQ(whereOfError(json), "organisations[1].contract.share");
+  json = test::exampleJson(1);
+  json["organisations"][0]["contract"]["models"] = {"no-such"};
+  EXPECT_EQ(whereOfError(json), "organisations[0].contract.models[0]");
+  json = test::exampleJson(1);
+  json["limits"].erase("maxBodyBytes");
+  EXPECT_EQ(whereOfError(json), "limits.maxBodyBytes");
+  json = test::exampleJson(1);
+  json["plases"] = 1;
+  EXPECT_EQ(whereOfError(json), "plases");
+  json = test::exampleJson(1);
+  json["drain"] = {"nobody"};
+  EXPECT_EQ(whereOfError(json), "drain[0]");
+  json = test::exampleJson(1);
+  json["services"][1]["servers"] = {"tutor-llm-1"};
+  EXPECT_EQ(whereOfError(json), "services[1].servers");
+  EXPECT_FALSE(ok(parseBundle("{")));
+}
+
+TEST(Bundle, DiffNamesWhatDiffers) {
+  Json a = test::exampleJson(1);
+  Json b = a;
+  b["organisations"][0]["contract"]["share"] = 9;
+  std::swap(b["organisations"][0], b["organisations"][1]);
+  const auto lines = diffBundles(a.dump(), b.dump());
+  ASSERT_TRUE(ok(lines));
+  ASSERT_EQ(value(lines).size(), 1U);
+  EXPECT_EQ(value(lines)[0], "organisations.school-1.contract.share: 1.0 -> 9");
+}
+
+TEST(Signature, NeedsTwoDifferentTrustedKeys) {
+  const test::Signers signers;
+  SignedBundle b = signers.signedBundle(test::exampleJson(1));
+  EXPECT_TRUE(ok(verify(b, signers.trusted())));
+
+  SignedBundle changed = b;
+  changed.Document[20] ^= 1;
+  EXPECT_EQ(error(verify(changed, signers.trusted())).Where,
+            "signatures.author");
+
+  SignedBundle unsigned_ = b;
+  unsigned_.Approver = {};
+  EXPECT_FALSE(ok(verify(unsigned_, signers.trusted())));
+
+  SignedBundle stranger = b;
+  sign(stranger, Role::Approver, makeKeyPair().Secret);
+  EXPECT_FALSE(ok(verify(stranger, signers.trusted())));
+
+  // One signature cannot serve as the other, and one key not as both.
+  SignedBundle swapped = b;
+  swapped.Approver = b.Author;
+  const TrustedKeys both{{signers.Author.Public}, {signers.Author.Public}};
+  EXPECT_FALSE(ok(verify(swapped, both)));
+  sign(swapped, Role::Approver, signers.Author.Secret);
+  EXPECT_FALSE(ok(verify(swapped, both)));
+}
+
+TEST(DocumentStore, VersionNeverFalls) {
+  const test::Signers signers;
+  plan::DocumentStore store(signers.trusted());
+  const auto offer = [&](std::uint64_t version) {
+    return store.offer({}, wire::BUNDLE,
+                       signers.serialised(test::exampleJson(version)));
+  };
+  EXPECT_EQ(offer(2), plan::Offer::Taken);
+  EXPECT_EQ(offer(1), plan::Offer::Older);
+  EXPECT_EQ(offer(2), plan::Offer::Known);
+  EXPECT_EQ(offer(3), plan::Offer::Taken);
+  EXPECT_EQ(store.bundle()->Version, 3U);
+  EXPECT_EQ(store.offer({}, wire::BUNDLE, "{}"), plan::Offer::Invalid);
+  EXPECT_EQ(store.versions().bundle(), 3U);
+}
+
+} // namespace
+} // namespace drumlanding::bundle
--- /dev/null
+++ b/tools/engine-model.cc
@@ -0,0 +1,161 @@
+#include "engine-model.h"
+
+#include <algorithm>
+#include <cmath>
+#include <numbers>
+
+namespace drumlanding::tools {
+namespace {
+
+constexpr std::uint32_t LongestOutput = 20'000;
+
+double normal(base::Random &random) {
+  const double u = std::max(random.unit(), 1e-12);
+  return std::sqrt(-2 * std::log(u)) *
+         std::cos(2 * std::numbers::pi * random.unit());
+}
+
+double logNormal(base::Random &random, double median, double sigma) {
+  return median * std::exp(sigma * normal(random));
+}
+
+double pareto(base::Random &random, double least, double alpha) {
+  return least / std::pow(std::max(random.unit(), 1e-9), 1 / alpha);
+}
+
+std::uint32_t clampTokens(double n, std::uint32_t most) {
+  return static_cast<std::uint32_t>(std::clamp<double>(n, 1, most));
+}
+
+/// Short answers with a heavy tail: two lines or forty.
+RequestSizes drawLernwerk(base::Random &random) {
+  const bool isLong = random.chance(0.03);
+  const double length =
+      isLong ? pareto(random, 800, 1.3) : logNormal(random, 150, 0.9);
+  return {clampTokens(logNormal(random, 180, 0.6), 800),
+          clampTokens(length, LongestOutput)};
+}
+
+/// Classifications of a few tokens, and summaries that run far on.
+RequestSizes drawPwani(base::Random &random) {
+  const bool isSummary = random.chance(0.35);
+  const double length =
+      isSummary ? logNormal(random, 700, 1.0) : logNormal(random, 20, 0.7);
+  return {clampTokens(logNormal(random, 300, 0.5), 900),
+          clampTokens(length, LongestOutput)};
+}
+
+} // namespace
+
+void EngineModel::submit(const EngineJob &job) {
+  // Higher priorities first, in order of arrival among equals.
+  const auto it =
+      std::find_if(Queue.begin(), Queue.end(), [&](const EngineJob &other) {
+        return other.Priority < job.Priority;
+      });
+  Queue.insert(it, job);
+}
+
+EngineJob EngineModel::stop(std::uint64_t id) {
+  const auto isIt = [&](const EngineJob &job) { return job.Id == id; };
+  const auto running = std::find_if(Running.begin(), Running.end(), isIt);
+  if (running != Running.end()) {
+    const EngineJob job = *running;
+    Used -= job.tokens();
+    Running.erase(running);
+    return job;
+  }
+  const auto queued = std::find_if(Queue.begin(), Queue.end(), isIt);
+  if (queued == Queue.end())
+    return {};
+  const EngineJob job = *queued;
+  Queue.erase(queued);
+  return job;
+}
+
+void EngineModel::preempt(EngineStep &out) {
+  while (Running.size() > 1 && Used + Running.size() > Options.CapacityTokens) {
+    EngineJob job = Running.back();
+    Running.pop_back();
+    Used -= job.tokens();
+    out.Preempted.push_back(job.Id);
+    Queue.push_front(job);
+  }
+}
+
+std::uint32_t EngineModel::prefillOf(const EngineJob &job, EngineStep &out) {
+  const auto tokens = static_cast<std::uint32_t>(job.tokens());
+  if (job.Prefix == 0 || Options.CacheTokens == 0)
+    return tokens;
+  const auto it =
+      std::find_if(Cached.begin(), Cached.end(),
+                   [&](const CachedPrefix &c) { return c.Hash == job.Prefix; });
+  const bool isCached = it != Cached.end();
+  const std::uint32_t saved = isCached ? std::min(it->Tokens, tokens - 1) : 0;
+  if (isCached)
+    Cached.splice(Cached.begin(), Cached, it);
+  else
+    cache(job, out);
+  return tokens - saved;
+}
+
+void EngineModel::cache(const EngineJob &job, EngineStep &out) {
+  Cached.push_front({job.Prefix, job.PrefixTokens});
+  CachedTokens += job.PrefixTokens;
+  out.Cache.push_back({job.Prefix, true});
+  while (CachedTokens > Options.CacheTokens && Cached.size() > 1) {
+    CachedTokens -= Cached.back().Tokens;
+    out.Cache.push_back({Cached.back().Hash, false});
+    Cached.pop_back();
+  }
+}
+
+void EngineModel::admit(EngineStep &out) {
+  while (!Queue.empty()) {
+    const EngineJob &job = Queue.front();
+    const std::uint64_t growth = Running.size() + 1;
+    if (!Running.empty() &&
+        Used + job.tokens() + growth > Options.CapacityTokens)
+      return;
+    out.PrefillTokens += prefillOf(job, out);
+    Used += job.tokens();
+    Running.push_back(job);
+    Queue.pop_front();
+  }
+}
+
+EngineStep EngineModel::step() {
+  EngineStep out;
+  preempt(out);
+  // What was just preempted would only come back to be preempted again.
+  if (out.Preempted.empty())
+    admit(out);
+  if (Running.empty())
+    return out;
+  const double ms = Options.StepMs +
+                    Options.StreamMs * static_cast<double>(Running.size()) +
+                    Options.PrefillTokenMs * out.PrefillTokens;
+  out.Took = base::Duration(static_cast<std::int64_t>(ms * 1e6));
+  for (EngineJob &job : Running) {
+    const bool isLast = job.Produced + 1 >= job.Length;
+    out.Tokens.push_back({job.Id, job.Produced, isLast});
+    ++job.Produced;
+    ++Used;
+  }
+  std::erase_if(Running, [&](const EngineJob &job) {
+    if (job.Produced < job.Length)
+      return false;
+    Used -= job.tokens();
+    return true;
+  });
+  return out;
+}
+
+RequestSizes drawSizes(LengthShape shape, base::Random &random) {
+  if (shape == LengthShape::Mixed)
+    shape = random.chance(0.5) ? LengthShape::Lernwerk : LengthShape::Pwani;
+  return shape == LengthShape::Lernwerk ? drawLernwerk(random)
+                                        : drawPwani(random);
+}
+
+} // namespace drumlanding::tools
--- /dev/null
+++ b/tools/fake-engine.cc
@@ -0,0 +1,370 @@
+// fake-engine: a stand-in for a model engine, over its published interface:
+// streams of tokens, cancel and resume, lagging load reports, late cache
+// events with gaps, and fenced orders to load models.
+//
+// A token's text is "word.seed.index": the seed is drawn when a stream starts
+// afresh, so a caller can tell that all its tokens come from one generation.
+#include "engine-model.h"
+#include "stand-in.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <cmath>
+#include <deque>
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+#include <memory>
+#include <set>
+
+DEFINE_string(listen, "127.0.0.1:7100", "[network] IP:port");
+DEFINE_string(weights, "",
+              "[network] IP:port of the weight store; may be "
+              "empty");
+DEFINE_uint64(seed, 1, "[engine] seed of the output lengths");
+DEFINE_string(lengths, "lernwerk", "[engine] lernwerk, pwani or mixed");
+DEFINE_int32(fixed_length, 0, "[engine] tokens of every answer; 0 to draw");
+DEFINE_double(speed, 1, "[engine] steps run this many times as fast");
+DEFINE_uint64(capacity, 60000, "[engine] memory in tokens");
+DEFINE_int32(report_lag_ms, 300, "[engine] lag of the load report");
+DEFINE_int32(cache_lag_ms, 1000, "[engine] lag of the cache events");
+DEFINE_double(cache_gap, 0.05, "[engine] part of the cache events lost");
+DEFINE_bool(checks_fences, true,
+            "[engine] refuse orders with a lower fence than the last");
+
+namespace {
+
+using namespace drumlanding;
+using namespace drumlanding::tools;
+using Clock = std::chrono::steady_clock;
+
+constexpr std::string_view Flags[] = {
+    "listen",       "weights",   "seed",         "lengths",
+    "fixed_length", "speed",     "capacity",     "report_lag_ms",
+    "cache_lag_ms", "cache_gap", "checks_fences"};
+constexpr base::milliseconds IdleStep{2};
+constexpr std::size_t PrefixBytes = 256;
+/// The last bytes of a prompt, by which `load` finds it again.
+constexpr std::size_t MarkerBytes = 36;
+constexpr const char *Words[] = {"so",   "take", "the",    "half", "and",
+                                 "then", "we",   "divide", "by",   "three"};
+
+/// A stream as its reader sees it.
+struct Stream {
+  explicit Stream(asio::any_io_executor executor) : Wake(executor) {}
+  std::string Id;
+  std::uint32_t Seed = 0;
+  std::deque<http::ServerEvent> Events;
+  bool IsOver = false;
+  asio::steady_timer Wake;
+
+  void push(http::ServerEvent event, bool isLast) {
+    Events.push_back(std::move(event));
+    IsOver = IsOver || isLast;
+    Wake.cancel();
+  }
+};
+
+/// What is remembered of a stream that was told to yield.
+struct KeptStream {
+  EngineJob Job;
+  std::uint32_t Seed = 0;
+};
+
+LengthShape shapeOf(const std::string &name) {
+  if (name == "pwani")
+    return LengthShape::Pwani;
+  return name == "mixed" ? LengthShape::Mixed : LengthShape::Lernwerk;
+}
+
+class Engine {
+public:
+  explicit Engine(asio::io_context &io)
+      : Io(io), Random(FLAGS_seed), Model([] {
+          EngineOptions options;
+          options.CapacityTokens = FLAGS_capacity;
+          return options;
+        }()) {}
+
+  asio::awaitable<void> handle(http::Request request, http::Exchange &x) {
+    const std::string path(request.path());
+    constexpr std::string_view Streams = "/v1/streams/";
+    if (path == "/v1/streams") {
+      co_await serveStream(request, x);
+    } else if (path == "/v1/streams/stop-all") {
+      stopAll();
+      co_await x.send(emptyResponse(200));
+    } else if (path.starts_with(Streams) && path.ends_with("/stop")) {
+      const std::string id =
+          path.substr(Streams.size(), path.size() - Streams.size() - 5);
+      const bool found = stop(id, request.query("keep") == "1");
+      co_await x.send(emptyResponse(found ? 200 : 404));
+    } else if (path == "/v1/load") {
+      co_await x.send(jsonResponse(200, Reported));
+    } else if (path == "/v1/models") {
+      co_await loadModels(request, x);
+    } else if (path == "/v1/cache-events") {
+      co_await x.send(cacheEvents(numberOf(request.query("after"), 0)));
+    } else if (path == "/v1/test/started") {
+      co_await x.send(jsonResponse(200, Json(Started)));
+    } else {
+      co_await x.send(errorResponse(404, "unknown call"));
+    }
+  }
+
+  /// Runs the model in real time.
+  asio::awaitable<void> run() {
+    for (;;) {
+      const EngineStep step = Model.step();
+      if (step.Took.count() == 0) {
+        co_await sleepFor(IdleStep);
+      } else {
+        const double nanos =
+            static_cast<double>(step.Took.count()) / FLAGS_speed;
+        co_await sleepFor(base::Duration(static_cast<std::int64_t>(nanos)));
+      }
+      deliver(step);
+    }
+  }
+
+  /// Makes the load report anew, late.
+  asio::awaitable<void> report() {
+    for (;;) {
+      Json next = currentLoad();
+      co_await sleepFor(base::milliseconds(FLAGS_report_lag_ms));
+      Reported = std::move(next);
+    }
+  }
+
+private:
+  Json currentLoad() const {
+    const EngineOptions &o = Model.options();
+    const double plain =
+        o.StepMs + o.StreamMs * static_cast<double>(Model.running());
+    return {{"capacityTokens", o.CapacityTokens},
+            {"usedTokens", Model.usedTokens()},
+            {"running", Model.running()},
+            {"queued", Model.queued()},
+            {"plainStepMs", plain / FLAGS_speed},
+            {"prefillTokenMs", o.PrefillTokenMs / FLAGS_speed},
+            {"preemptions", Preemptions},
+            {"models", Models}};
+  }
+
+  void deliver(const EngineStep &step) {
+    Preemptions += step.Preempted.size();
+    for (const EngineToken &token : step.Tokens) {
+      const auto it = ByNumber.find(token.Id);
+      if (it == ByNumber.end())
+        continue;
+      const std::shared_ptr<Stream> stream = it->second;
+      const char *word = Words[token.Index % std::size(Words)];
+      stream->push(
+          {std::to_string(token.Index), "token",
+           fmt::format("{}.{:08x}.{} ", word, stream->Seed, token.Index)},
+          false);
+      if (!token.IsLast)
+        continue;
+      stream->push({"", "done", "{}"}, true);
+      forget(*stream, token.Id);
+    }
+    for (const CacheEvent &event : step.Cache) {
+      ++CacheSequence;
+      if (Random.chance(FLAGS_cache_gap))
+        continue;
+      Cache.push_back({CacheSequence, Clock::now(), event});
+      if (Cache.size() > 1'000)
+        Cache.pop_front();
+    }
+  }
+
+  void forget(const Stream &stream, std::uint64_t number) {
+    Numbers.erase(stream.Id);
+    ByNumber.erase(number);
+  }
+
+  bool stop(const std::string &id, bool keep) {
+    if (!keep)
+      Kept.erase(id);
+    const auto it = Numbers.find(id);
+    if (it == Numbers.end())
+      return false;
+    const std::uint64_t number = it->second;
+    const std::shared_ptr<Stream> stream = ByNumber.at(number);
+    const EngineJob job = Model.stop(number);
+    if (keep)
+      Kept[id] = {job, stream->Seed};
+    stream->push({"", keep ? "yielded" : "cancelled", "{}"}, true);
+    forget(*stream, number);
+    return true;
+  }
+
+  void stopAll() {
+    while (!Numbers.empty())
+      stop(std::string(Numbers.begin()->first), false);
+    Kept.clear();
+  }
+
+  bool isLoaded(const Json &request) const {
+    for (const Json &m : Models)
+      if (m.at("model") == request.at("model"))
+        return true;
+    return false;
+  }
+
+  EngineJob makeJob(const Json &request) {
+    const std::string prompt = request.at("prompt");
+    EngineJob job;
+    job.Id = ++NextNumber;
+    job.PromptTokens = request.at("promptTokens");
+    job.Priority = request.at("priority");
+    job.Length = FLAGS_fixed_length > 0
+                     ? static_cast<std::uint32_t>(FLAGS_fixed_length)
+                     : drawSizes(shapeOf(FLAGS_lengths), Random).Length;
+    job.Length =
+        std::min(job.Length, request.at("maxTokens").get<std::uint32_t>());
+    if (prompt.size() >= PrefixBytes) {
+      job.Prefix = base::hash64(prompt.substr(0, PrefixBytes));
+      job.PrefixTokens = PrefixBytes / 4;
+    }
+    const std::size_t from =
+        prompt.size() > MarkerBytes ? prompt.size() - MarkerBytes : 0;
+    ++Started[prompt.substr(from)];
+    return job;
+  }
+
+  asio::awaitable<void> serveStream(const http::Request &request,
+                                    http::Exchange &x) {
+    const Json json = Json::parse(request.Body, nullptr, false);
+    if (!json.is_object() || !json.contains("id") || !json["id"].is_string()) {
+      co_await x.send(errorResponse(400, "malformed"));
+      co_return;
+    }
+    const std::string id = json["id"];
+    if (!isLoaded(json) || Numbers.contains(id)) {
+      co_await x.send(errorResponse(503, "refused"));
+      co_return;
+    }
+    auto stream = std::make_shared<Stream>(Io.get_executor());
+    stream->Id = id;
+    const std::uint32_t resumeFrom = json.value("resumeFrom", 0U);
+    EngineJob job;
+    if (resumeFrom > 0) {
+      const auto kept = Kept.find(id);
+      if (kept == Kept.end() || kept->second.Job.Produced < resumeFrom) {
+        co_await x.send(errorResponse(409, "not resumable"));
+        co_return;
+      }
+      job = kept->second.Job;
+      job.Produced = resumeFrom;
+      job.Id = ++NextNumber;
+      stream->Seed = kept->second.Seed;
+      Kept.erase(kept);
+    } else {
+      job = makeJob(json);
+      stream->Seed = static_cast<std::uint32_t>(base::secureRandom64());
+    }
+    Numbers[id] = job.Id;
+    ByNumber[job.Id] = stream;
+    Model.submit(job);
+    co_await sendEvents(stream, job.Id, x);
+  }
+
+  asio::awaitable<void> sendEvents(std::shared_ptr<Stream> stream,
+                                   std::uint64_t number, http::Exchange &x) {
+    x.onGone([this, id = stream->Id, number] {
+      const auto it = Numbers.find(id);
+      if (it != Numbers.end() && it->second == number)
+        stop(id, false);
+    });
+    bool isOpen = co_await x.beginEvents(std::vector<http::Header>());
+    while (isOpen) {
+      while (stream->Events.empty() && !stream->IsOver) {
+        stream->Wake.expires_at(Clock::time_point::max());
+        boost::system::error_code ec;
+        co_await stream->Wake.async_wait(
+            asio::redirect_error(asio::use_awaitable, ec));
+      }
+      std::vector<http::ServerEvent> events(stream->Events.begin(),
+                                            stream->Events.end());
+      stream->Events.clear();
+      const bool isOver = stream->IsOver;
+      isOpen = co_await x.events(std::move(events));
+      if (isOver)
+        break;
+    }
+    co_await x.endEvents();
+  }
+
+  asio::awaitable<void> loadModels(const http::Request &request,
+                                   http::Exchange &x) {
+    const Json json = Json::parse(request.Body, nullptr, false);
+    const std::uint64_t fence = json.value("fence", std::uint64_t(0));
+    if (FLAGS_checks_fences && fence < Fence) {
+      co_await x.send(errorResponse(409, "a higher fence was seen"));
+      co_return;
+    }
+    Fence = fence;
+    if (!FLAGS_weights.empty())
+      for (const Json &m : json.at("models")) {
+        const auto store = base::parseEndpoint("--weights", FLAGS_weights);
+        http::Request fetch;
+        fetch.Method = "GET";
+        fetch.Target = "/v1/weights/" + m.at("model").get<std::string>();
+        co_await http::fetch(value(store), std::move(fetch),
+                             base::milliseconds(10'000));
+      }
+    if (fence < Fence && FLAGS_checks_fences) {
+      co_await x.send(errorResponse(409, "a higher fence was seen"));
+      co_return;
+    }
+    Models = json.at("models");
+    co_await x.send(emptyResponse(200));
+  }
+
+  http::Response cacheEvents(std::uint64_t after) const {
+    const auto visible = Clock::now() - base::milliseconds(FLAGS_cache_lag_ms);
+    Json events = Json::array();
+    for (const LateEvent &e : Cache)
+      if (e.Sequence > after && e.At <= visible)
+        events.push_back({{"sequence", e.Sequence},
+                          {"prefix", e.Event.Prefix},
+                          {"added", e.Event.Added}});
+    return jsonResponse(200, {{"events", events}});
+  }
+
+  struct LateEvent {
+    std::uint64_t Sequence = 0;
+    Clock::time_point At;
+    CacheEvent Event;
+  };
+
+  asio::io_context &Io;
+  base::Random Random;
+  EngineModel Model;
+  std::map<std::string, std::uint64_t> Numbers;
+  std::map<std::uint64_t, std::shared_ptr<Stream>> ByNumber;
+  std::map<std::string, KeptStream> Kept;
+  std::map<std::string, int> Started;
+  std::deque<LateEvent> Cache;
+  std::uint64_t CacheSequence = 0;
+  std::uint64_t NextNumber = 0;
+  std::uint64_t Fence = 0;
+  std::uint64_t Preemptions = 0;
+  Json Models = Json::array();
+  Json Reported = currentLoad();
+};
+
+} // namespace
+
+int main(int argc, char **argv) {
+  readStandInFlags(argc, argv, "fake-engine: a stand-in for a model engine",
+                   Flags);
+  asio::io_context io(1);
+  Engine engine(io);
+  asio::co_spawn(io, engine.run(), asio::detached);
+  asio::co_spawn(io, engine.report(), asio::detached);
+  return serveUntilStopped(io, FLAGS_listen,
+                           [&](http::Request request, http::Exchange &x) {
+                             return engine.handle(std::move(request), x);
+                           });
+}
--- /dev/null
+++ b/tools/load.cc
@@ -0,0 +1,387 @@
+// load: callers of both deployments that check every answer they get.
+#include "drumlanding/base/hash.h"
+#include "load-checks.h"
+#include "stand-in.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <cstdio>
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+#include <map>
+#include <unistd.h>
+
+DEFINE_string(entries, "127.0.0.1:8080",
+              "[target] IP:port of the entries, separated by commas");
+DEFINE_string(credentials, "", "[target] credentials, separated by commas");
+DEFINE_string(model, "", "[target] model to ask; empty for none");
+DEFINE_string(service, "", "[target] plain service to call; empty for none");
+DEFINE_string(engines, "",
+              "[check] IP:port of the stand-in engines, to check refusals");
+DEFINE_string(services, "",
+              "[check] IP:port of the stand-in services, to check runs");
+DEFINE_double(rate, 20, "[load] new requests a second");
+DEFINE_int32(streams, 0,
+             "[load] streams kept open at a time; 0 to go by --rate");
+DEFINE_double(seconds, 5, "[load] seconds to send requests");
+DEFINE_double(drain_seconds, 30, "[load] seconds to wait for the rest");
+DEFINE_uint32(max_tokens, 400, "[load] most tokens an answer");
+DEFINE_double(call_part, 0.2, "[load] part of the requests that are calls");
+DEFINE_double(drop_part, 0.1,
+              "[load] part of the streams dropped and resumed elsewhere");
+DEFINE_double(repeat_part, 0.3,
+              "[load] part of the calls sent twice, through two entries");
+DEFINE_uint64(seed, 1, "[load] seed of the choices");
+DEFINE_bool(progress, true, "[output] show a progress line");
+
+namespace {
+
+using namespace drumlanding;
+using namespace drumlanding::tools;
+using base::milliseconds;
+
+constexpr std::string_view Flags[] = {
+    "entries",   "credentials",   "model",      "service",
+    "engines",   "services",      "rate",       "streams",
+    "seconds",   "drain_seconds", "max_tokens", "call_part",
+    "drop_part", "repeat_part",   "seed",       "progress"};
+constexpr milliseconds StreamSilence{20'000};
+constexpr milliseconds CallLimit{20'000};
+constexpr milliseconds ResumeWait{200};
+constexpr int MostResumes = 40;
+constexpr std::size_t MarkerBytes = 36;
+
+std::vector<base::Endpoint> endpoints(std::string_view flag,
+                                      const std::string &list) {
+  std::vector<base::Endpoint> all;
+  for (const std::string &part : base::splitList(list)) {
+    const auto endpoint = base::parseEndpoint(flag, part);
+    if (!ok(endpoint))
+      base::exitOnBadSettings(error(endpoint));
+    all.push_back(value(endpoint));
+  }
+  return all;
+}
+
+/// How one connection of a stream ended.
+enum class StreamResult { Whole, Failed, Refused, Dropped, Cut };
+
+class Load {
+public:
+  explicit Load(asio::io_context &io)
+      : Io(io), Random(FLAGS_seed),
+        Entries(endpoints("--entries", FLAGS_entries)),
+        Engines(endpoints("--engines", FLAGS_engines)),
+        Services(endpoints("--services", FLAGS_services)),
+        Credentials(base::splitList(FLAGS_credentials)) {}
+
+  asio::awaitable<void> run() {
+    Started = Time.now().Steady;
+    const auto until =
+        Started +
+        base::Duration(static_cast<std::int64_t>(FLAGS_seconds * 1e9));
+    while (Time.now().Steady < until) {
+      if (FLAGS_streams > 0 && Open >= FLAGS_streams) {
+        co_await sleepFor(milliseconds(2));
+        continue;
+      }
+      asio::co_spawn(Io, oneRequest(), asio::detached);
+      if (FLAGS_streams == 0)
+        co_await sleepFor(
+            base::Duration(static_cast<std::int64_t>(1e9 / FLAGS_rate)));
+      showProgress(false);
+    }
+    const auto patience =
+        Time.now().Steady +
+        base::Duration(static_cast<std::int64_t>(FLAGS_drain_seconds * 1e9));
+    while (Open > 0 && Time.now().Steady < patience) {
+      co_await sleepFor(milliseconds(50));
+      showProgress(false);
+    }
+    showProgress(true);
+    co_await checkRuns();
+    print();
+    std::fflush(stdout);
+    std::_Exit(Counts.violations() == 0 && Open == 0 ? 0 : 1);
+  }
+
+private:
+  const base::Endpoint &anyEntry() {
+    return Entries[Random.below(Entries.size())];
+  }
+  const std::string &anyCredential() {
+    return Credentials[Random.below(Credentials.size())];
+  }
+
+  asio::awaitable<void> oneRequest() {
+    ++Open;
+    ++Counts.Requests;
+    const bool isCall = !FLAGS_service.empty() &&
+                        (FLAGS_model.empty() || Random.chance(FLAGS_call_part));
+    if (isCall)
+      co_await oneCall();
+    else
+      co_await oneGeneration();
+    --Open;
+  }
+
+  // Generations.
+
+  asio::awaitable<void> oneGeneration() {
+    const std::string marker =
+        fmt::format("{:0>{}}", base::randomId(), MarkerBytes);
+    const std::string credential = anyCredential();
+    StreamChecker checker(Counts);
+    std::string id;
+    const bool drops = Random.chance(FLAGS_drop_part);
+    auto dropAt = static_cast<std::uint32_t>(drops ? 1 + Random.below(20)
+                                                   : FLAGS_max_tokens + 1);
+    const Json body{{"model", FLAGS_model},
+                    {"prompt", promptWith(marker)},
+                    {"maxTokens", FLAGS_max_tokens}};
+    http::Request request{"POST",
+                          "/v1/generations",
+                          {{"Authorization", "Bearer " + credential}},
+                          body.dump()};
+    const base::Instant asked = Time.now().Steady;
+    StreamResult result = co_await readStream(std::move(request), checker, id,
+                                              dropAt, marker, asked);
+    for (int i = 0; i < MostResumes && !id.empty(); ++i) {
+      if (result != StreamResult::Cut && result != StreamResult::Dropped)
+        break;
+      ++Counts.Resumed;
+      dropAt = FLAGS_max_tokens + 1;
+      http::Request again{"GET",
+                          "/v1/generations/" + id,
+                          {{"Authorization", "Bearer " + credential}},
+                          ""};
+      if (checker.next() > 0)
+        again.Headers.push_back(
+            {"Last-Event-ID", std::to_string(checker.next() - 1)});
+      result =
+          co_await readStream(std::move(again), checker, id, dropAt, "", asked);
+      if (result == StreamResult::Cut)
+        co_await sleepFor(ResumeWait);
+    }
+    if (result == StreamResult::Whole)
+      ++Counts.Whole;
+    if (result == StreamResult::Failed)
+      ++Counts.Broken;
+    if (result == StreamResult::Cut)
+      ++Counts.Unanswered;
+    Gaps.insert(Gaps.end(), checker.gaps().begin(), checker.gaps().end());
+  }
+
+  std::string promptWith(const std::string &marker) {
+    // A few shared beginnings, so that prefixes matter.
+    const std::string topic = std::to_string(Random.below(20));
+    std::string prompt = "You help pupils with exercise " + topic + ". ";
+    prompt += std::string(300 + Random.below(900), 'x');
+    return prompt + marker;
+  }
+
+  asio::awaitable<StreamResult>
+  readStream(http::Request request, StreamChecker &checker, std::string &id,
+             std::uint32_t dropAt, const std::string &marker,
+             base::Instant asked) {
+    StreamResult result = StreamResult::Cut;
+    const auto onHead = [&](const std::vector<http::Header> &headers) {
+      for (const http::Header &h : headers)
+        if (h.Name == "Drumlanding-Generation")
+          id = h.Value;
+    };
+    const auto onEvent = [&](const http::ServerEvent &event) {
+      if (event.Name == "token") {
+        if (checker.next() == 0) {
+          const std::chrono::duration<double, std::milli> wait =
+              Time.now().Steady - asked;
+          FirstTokens.push_back(wait.count());
+        }
+        checker.token(event, Time.now().Steady);
+        if (checker.next() < dropAt)
+          return true;
+        result = StreamResult::Dropped;
+        return false;
+      }
+      result =
+          event.Name == "done" ? StreamResult::Whole : StreamResult::Failed;
+      if (event.Name == "error")
+        ++Reasons[reasonOf(event.Data)];
+      return false;
+    };
+    const http::StreamEnd end = co_await http::stream(
+        anyEntry(), std::move(request), StreamSilence, onEvent, onHead);
+    if (end.Status == 0 || end.Status == 200)
+      co_return result;
+    const std::string reason = reasonOf(end.Body);
+    ++Reasons[reason];
+    // An entry that just started does not know the agents yet.
+    const bool isEarly = marker.empty() && reason == "not-ready";
+    if (isEarly ||
+        (marker.empty() && reason == "not-found" && checker.next() == 0))
+      co_return StreamResult::Cut;
+    if (verdictOf(end.Body) == "not-run" && !marker.empty()) {
+      ++Counts.Refused;
+      NotRun.insert(marker);
+      co_return StreamResult::Refused;
+    }
+    co_return StreamResult::Failed;
+  }
+
+  static std::string memberOf(const std::string &body, const char *name) {
+    const Json json = Json::parse(body, nullptr, false);
+    if (!json.is_object() || !json.contains("error"))
+      return "none";
+    return json["error"].value(name, "none");
+  }
+  static std::string reasonOf(const std::string &body) {
+    return memberOf(body, "reason");
+  }
+  static std::string verdictOf(const std::string &body) {
+    return memberOf(body, "verdict");
+  }
+
+  // Calls of the plain service that may not be repeated.
+
+  asio::awaitable<void> oneCall() {
+    const std::string id = base::randomId();
+    const std::string key = uuid7(Time.now().Wall);
+    const std::string credential = anyCredential();
+    const bool repeats = Random.chance(FLAGS_repeat_part);
+    if (repeats)
+      asio::co_spawn(Io, sendCall(id, key, credential, true), asio::detached);
+    co_await sendCall(id, key, credential, false);
+  }
+
+  asio::awaitable<void> sendCall(std::string id, std::string key,
+                                 std::string credential, bool isRepeat) {
+    http::Request request{
+        "POST",
+        "/v1/services/" + FLAGS_service + "/progress",
+        {{"Authorization", "Bearer " + credential}, {"Idempotency-Key", key}},
+        Json{{"id", id}}.dump()};
+    const auto fetched =
+        co_await http::fetch(anyEntry(), std::move(request), CallLimit);
+    if (!ok(fetched.Answer)) {
+      Counts.Unanswered += isRepeat ? 0 : 1;
+      co_return;
+    }
+    const http::Response &response = value(fetched.Answer);
+    if (response.Status == 200) {
+      const Json json = Json::parse(response.Body, nullptr, false);
+      if (!json.is_object() || json.value("id", "") != id)
+        ++Counts.Crossed;
+      Counts.Whole += isRepeat ? 0 : 1;
+      Answered.insert(id);
+      co_return;
+    }
+    ++Reasons[reasonOf(response.Body)];
+    if (isRepeat)
+      co_return;
+    if (verdictOf(response.Body) == "not-run") {
+      ++Counts.Refused;
+      // Its repeat may have run it all the same.
+      co_return;
+    }
+    ++Counts.Broken;
+  }
+
+  /// Asks the stand-ins what really ran.
+  asio::awaitable<void> checkRuns() {
+    for (const base::Endpoint &engine : Engines) {
+      const Json started = co_await ask(engine, "/v1/test/started");
+      for (const auto &[marker, n] : started.items())
+        if (NotRun.contains(marker))
+          ++Counts.RanThoughNot;
+    }
+    std::map<std::string, int> runs;
+    for (const base::Endpoint &service : Services) {
+      const Json all = co_await ask(service, "/v1/test/runs");
+      for (const auto &[id, n] : all.items())
+        runs[id] += n.get<int>();
+    }
+    for (const auto &[id, n] : runs)
+      if (!id.empty() && n > 1)
+        ++Counts.RanTwice;
+  }
+
+  asio::awaitable<Json> ask(base::Endpoint to, std::string path) {
+    http::Request request;
+    request.Method = "GET";
+    request.Target = path;
+    const auto fetched =
+        co_await http::fetch(to, std::move(request), milliseconds(5'000));
+    if (!ok(fetched.Answer))
+      co_return Json::object();
+    Json json = Json::parse(value(fetched.Answer).Body, nullptr, false);
+    co_return json.is_object() ? json : Json::object();
+  }
+
+  void showProgress(bool isLast) {
+    // On a terminal the line is rewritten; in a log only the last one is kept.
+    if (!FLAGS_progress || (!isLast && !isatty(STDERR_FILENO)))
+      return;
+    if ((!isLast && Time.now().Steady < NextProgress))
+      return;
+    NextProgress = Time.now().Steady + milliseconds(250);
+    const std::chrono::duration<double> since = Time.now().Steady - Started;
+    std::fprintf(stderr,
+                 "\rload: %5.1f s, %llu requests, %d open, %llu whole, "
+                 "%llu tokens, %llu refused, %llu violations%s",
+                 since.count(),
+                 static_cast<unsigned long long>(Counts.Requests), Open,
+                 static_cast<unsigned long long>(Counts.Whole),
+                 static_cast<unsigned long long>(Counts.Tokens),
+                 static_cast<unsigned long long>(Counts.Refused),
+                 static_cast<unsigned long long>(Counts.violations()),
+                 isLast ? "\n" : "");
+  }
+
+  void print() const {
+    fmt::print("requests={} whole={} tokens={} duplicates={} gaps={} mixed={} "
+               "crossed={} ran_twice={} ran_though_not={} refusals={} "
+               "broken={} unanswered={} resumed={} open={} "
+               "first_token_p50_ms={:.0f} first_token_p95_ms={:.0f} "
+               "gap_p50_ms={:.1f} gap_p95_ms={:.1f} gap_p99_ms={:.1f}",
+               Counts.Requests, Counts.Whole, Counts.Tokens, Counts.Duplicates,
+               Counts.Gaps, Counts.Mixed, Counts.Crossed, Counts.RanTwice,
+               Counts.RanThoughNot, Counts.Refused, Counts.Broken,
+               Counts.Unanswered, Counts.Resumed, Open,
+               quantile(FirstTokens, 0.5), quantile(FirstTokens, 0.95),
+               quantile(Gaps, 0.5), quantile(Gaps, 0.95), quantile(Gaps, 0.99));
+    for (const auto &[reason, n] : Reasons)
+      fmt::print(" reason_{}={}", reason, n);
+    fmt::print("\n");
+  }
+
+  asio::io_context &Io;
+  base::SystemClock Time;
+  base::Random Random;
+  std::vector<base::Endpoint> Entries;
+  std::vector<base::Endpoint> Engines;
+  std::vector<base::Endpoint> Services;
+  std::vector<std::string> Credentials;
+  LoadCounts Counts;
+  int Open = 0;
+  base::Instant Started{};
+  base::Instant NextProgress{};
+  std::set<std::string> NotRun;
+  std::set<std::string> Answered;
+  std::map<std::string, int> Reasons;
+  std::vector<double> FirstTokens;
+  std::vector<double> Gaps;
+};
+
+} // namespace
+
+int main(int argc, char **argv) {
+  readStandInFlags(argc, argv, "load: callers that check their answers", Flags);
+  if (FLAGS_credentials.empty())
+    base::exitOnBadSettings(
+        base::invalid("--credentials", "at least one is needed"));
+  asio::io_context io(1);
+  Load load(io);
+  asio::co_spawn(io, load.run(), asio::detached);
+  io.run();
+  return 1;
+}
--- /dev/null
+++ b/tools/stand-in.h
@@ -0,0 +1,76 @@
+/// What the stand-ins share: flags, one thread, and JSON answers.
+#pragma once
+
+#include "drumlanding/base/settings.h"
+#include "drumlanding/http/http.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <charconv>
+#include <cstdlib>
+#include <nlohmann/json.hpp>
+#include <sodium.h>
+#include <span>
+#include <string>
+
+namespace drumlanding::tools {
+
+namespace asio = boost::asio;
+using Json = nlohmann::json;
+
+inline http::Response jsonResponse(int status, const Json &json) {
+  return {status, "application/json", json.dump() + "\n", {}};
+}
+
+inline http::Response emptyResponse(int status) {
+  return jsonResponse(status, Json::object());
+}
+
+inline http::Response errorResponse(int status, const char *message) {
+  return jsonResponse(status, {{"error", message}});
+}
+
+inline std::uint64_t numberOf(std::string_view text, std::uint64_t otherwise) {
+  std::uint64_t n = otherwise;
+  std::from_chars(text.data(), text.data() + text.size(), n);
+  return n;
+}
+
+inline asio::awaitable<void> sleepFor(base::Duration time) {
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  timer.expires_after(time);
+  boost::system::error_code ec;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+}
+
+/// Reads a stand-in's flags or exits with 2.
+inline void readStandInFlags(int argc, char **argv, std::string_view synopsis,
+                             std::span<const std::string_view> flags) {
+  if (sodium_init() < 0)
+    std::exit(2);
+  const auto words = base::readSettings(argc, argv, synopsis, flags);
+  if (!ok(words))
+    base::exitOnBadSettings(error(words));
+}
+
+/// Serves until SIGTERM on one thread.
+inline int serveUntilStopped(asio::io_context &io, std::string_view listen,
+                             http::Handler handler) {
+  const auto endpoint = base::parseEndpoint("--listen", listen);
+  if (!ok(endpoint))
+    base::exitOnBadSettings(error(endpoint));
+  auto server =
+      http::Server::listen(io, value(endpoint), {}, std::move(handler));
+  if (!ok(server))
+    base::exitOnBadSettings(error(server));
+  asio::signal_set signals(io, SIGTERM, SIGINT);
+  signals.async_wait([&](boost::system::error_code, int) { io.stop(); });
+  io.run();
+  std::_Exit(0);
+}
+
+} // namespace drumlanding::tools
