--- a/test/bundle-test.cc
+++ b/test/bundle-test.cc
@@ -68,9 +68,9 @@
   EXPECT_EQ(error(verify(changed, signers.trusted())).Where,
             "signatures.author");
 
-  SignedBundle unsigned_ = b;
-  unsigned_.Approver = {};
-  EXPECT_FALSE(ok(verify(unsigned_, signers.trusted())));
+  SignedBundle lacking = b;
+  lacking.Approver = {};
+  EXPECT_FALSE(ok(verify(lacking, signers.trusted())));
 
   SignedBundle stranger = b;
   sign(stranger, Role::Approver, makeKeyPair().Secret);
--- /dev/null
+++ b/test/mechanism-test.cc
@@ -0,0 +1,229 @@
+// Each proof must be seen to fail: with one mechanism switched off the same
+// scenarios break a promise, with it they hold.
+#include "drumlanding/base/invariant.h"
+#include "world.h"
+
+#include <cstdio>
+#include <functional>
+#include <gtest/gtest.h>
+
+namespace drumlanding::test {
+namespace {
+
+using namespace std::chrono_literals;
+using base::Invariant;
+
+std::uint64_t allInvariantFailures() {
+  std::uint64_t sum = 0;
+  for (int i = 0; i <= static_cast<int>(Invariant::Last); ++i)
+    sum += base::invariantFailures(static_cast<Invariant>(i));
+  return sum;
+}
+
+/// Runs a scenario under many seeds; returns how many broke a promise.
+int countBroken(const WorldOptions &options,
+                const std::function<void(World &)> &scenario,
+                std::string *example = nullptr) {
+  constexpr int Runs = 40;
+  int broken = 0;
+  for (int i = 1; i <= Runs; ++i) {
+    WorldOptions seeded = options;
+    seeded.Seed = static_cast<std::uint64_t>(i);
+    const std::uint64_t before = allInvariantFailures();
+    World world(seeded);
+    scenario(world);
+    world.settle();
+    std::string wrong = world.check();
+    if (allInvariantFailures() != before)
+      wrong += "an invariant failed; ";
+    if (!wrong.empty() && example)
+      *example = wrong;
+    broken += wrong.empty() ? 0 : 1;
+  }
+  return broken;
+}
+
+/// Expects the scenario to break without the mechanism and to hold with it.
+void expectNeeded(const char *name, const WorldOptions &without,
+                  const std::function<void(World &)> &scenario) {
+  base::setInvariantsFatal(false);
+  std::string example;
+  const int broken = countBroken(without, scenario, &example);
+  base::setInvariantsFatal(true);
+  WorldOptions with = without;
+  with.AgentOn = {};
+  with.EntryOn = {};
+  const int brokenWith = countBroken(with, scenario);
+  std::printf("%s: off %d of 40 broken (%.90s), on %d\n", name, broken,
+              example.c_str(), brokenWith);
+  EXPECT_GT(broken, 0) << name;
+  EXPECT_EQ(brokenWith, 0) << name;
+}
+
+TEST(Mechanism, RememberRequests) {
+  WorldOptions off;
+  off.AgentOn.RememberRequests = false;
+  expectNeeded("remember requests", off, [](World &w) {
+    w.askCall(0, true);
+    w.run(4s);
+  });
+}
+
+TEST(Mechanism, LeaveTombstones) {
+  WorldOptions off;
+  off.AgentOn.LeaveTombstones = false;
+  // The Start is lost, the entry asks and hears "not run"; a copy comes late.
+  expectNeeded("leave tombstones", off, [](World &w) {
+    w.injectAt(Step::CallRequest, Fault::LateArrival);
+    w.askCall(0, false);
+    w.run(20s);
+  });
+}
+
+TEST(Mechanism, CheckIncarnation) {
+  WorldOptions off;
+  off.AgentOn.CheckIncarnation = false;
+  // A copy of a Start reaches the agent's next incarnation while the entry
+  // that follows the stream is frozen.
+  expectNeeded("check incarnation", off, [](World &w) {
+    w.endless(true);
+    w.injectAt(Step::StartRequest, Fault::LateCopy);
+    w.askGeneration(0);
+    w.run(600ms);
+    w.inject(Fault::FreezeEntry, 0, 0);
+    w.inject(Fault::RestartAgent, 0, 0);
+    w.inject(Fault::RestartAgent, 0, 1);
+    w.run(12s);
+  });
+}
+
+TEST(Mechanism, CheckKeyTime) {
+  WorldOptions off;
+  off.AgentOn.CheckKeyTime = false;
+  // The agent forgets in a restart what it ran; the caller sends again.
+  expectNeeded("check key time", off, [](World &w) {
+    w.askCall(0, true);
+    w.run(50ms);
+    w.inject(Fault::RestartAgent, 0, 2);
+    w.inject(Fault::RestartAgent, 0, 3);
+    w.run(10s);
+  });
+}
+
+TEST(Mechanism, CancelOrphans) {
+  WorldOptions off;
+  off.AgentOn.CancelOrphans = false;
+  off.EngineCapacity = 200'000;
+  // Its only follower dies before the caller knows the stream's id.
+  expectNeeded("cancel orphans", off, [](World &w) {
+    w.endless(true);
+    w.injectAt(Step::EngineStart, Fault::KillEntry);
+    w.askGeneration(0);
+    w.run(3s);
+  });
+}
+
+TEST(Mechanism, RefuseWhenLeaving) {
+  WorldOptions off;
+  off.AgentOn.RefuseWhenLeaving = false;
+  // An entry that has not heard of it yet still sends work.
+  expectNeeded("refuse when leaving", off, [](World &w) {
+    w.orderLeave(0);
+    for (int i = 0; i < 10; ++i)
+      w.askGeneration(0);
+    w.run(10s);
+  });
+}
+
+TEST(Mechanism, AskAfterLostReplies) {
+  WorldOptions off;
+  off.EntryOn.AskAfterLostReplies = false;
+  expectNeeded("ask after lost replies", off, [](World &w) {
+    w.injectAt(Step::CallReply, Fault::Lose);
+    w.askCall(0, false);
+    w.run(20s);
+  });
+}
+
+TEST(Mechanism, DropRepeatedTokens) {
+  WorldOptions off;
+  off.EntryOn.DropRepeatedTokens = false;
+  expectNeeded("drop repeated tokens", off, [](World &w) {
+    // Each new stream sends a poll, while the replies to earlier ones are
+    // on their way with the same tokens.
+    for (int i = 0; i < 30; ++i) {
+      w.askGeneration(0);
+      w.run(7ms);
+    }
+    w.run(10s);
+  });
+}
+
+/// Attempts for each request when the engines refuse three starts in ten.
+double attemptsPerRequest(bool limited) {
+  WorldOptions options;
+  options.RefusePart = 0.3;
+  options.EntryOn.LimitRetries = limited;
+  World world(options);
+  constexpr int Requests = 1'500;
+  const std::size_t before = world.attempts();
+  for (int i = 0; i < Requests; ++i) {
+    world.askGeneration(static_cast<std::size_t>(i % 2));
+    world.run(20ms);
+  }
+  world.settle();
+  EXPECT_EQ(world.check(), "");
+  return static_cast<double>(world.attempts() - before) / Requests;
+}
+
+TEST(Mechanism, LimitRetries) {
+  const double off = attemptsPerRequest(false);
+  const double on = attemptsPerRequest(true);
+  std::printf("limit retries: attempts per request %.3f off, %.3f on\n", off,
+              on);
+  EXPECT_GT(off, 1.15);
+  EXPECT_LT(on, 1.15);
+}
+
+/// Seconds until a bundle is everywhere when the key-value service goes down
+/// right after one entry has read it; 30 when it never is.
+double spreadTime(bool spreads) {
+  WorldOptions options;
+  options.EntryOn.SpreadDocuments = spreads;
+  World world(options);
+  if (!spreads)
+    return 30;
+  world.rollOut(2);
+  while (world.bundleOfEntry(0) != 2)
+    world.run(10ms);
+  world.setKvDown(true);
+  double seconds = 0;
+  const auto isEverywhere = [&] {
+    bool all = world.bundleOfEntry(1) == 2;
+    for (std::size_t i = 0; i < world.agents(); ++i)
+      all = all && world.bundleOfAgent(i) == 2;
+    return all;
+  };
+  while (!isEverywhere() && seconds < 30) {
+    world.run(10ms);
+    seconds += 0.01;
+  }
+  return seconds;
+}
+
+TEST(Mechanism, SpreadDocuments) {
+  const double on = spreadTime(true);
+  std::printf("spread documents: everywhere after %.2f s\n", on);
+  EXPECT_LT(on, 3);
+  // Without it only the entry that watches ever gets a bundle.
+  WorldOptions off;
+  off.EntryOn.SpreadDocuments = false;
+  World world(off);
+  world.run(30s);
+  EXPECT_EQ(world.bundleOfEntry(0), 1U);
+  EXPECT_EQ(world.bundleOfEntry(1), 0U);
+  EXPECT_EQ(world.bundleOfAgent(0), 0U);
+}
+
+} // namespace
+} // namespace drumlanding::test
--- /dev/null
+++ b/test/promise-test.cc
@@ -0,0 +1,152 @@
+// Promises that are about time and order rather than about a single message.
+#include "drumlanding/entry/limits.h"
+#include "world.h"
+
+#include <gtest/gtest.h>
+
+namespace drumlanding::test {
+namespace {
+
+using namespace std::chrono_literals;
+
+TEST(Leaving, NoNewWorkWithinThreeSecondsAndNothingCutOff) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    WorldOptions options;
+    options.Seed = seed;
+    World world(options);
+    for (int i = 0; i < 10; ++i)
+      world.askGeneration(static_cast<std::size_t>(i % 2));
+    world.run(100ms);
+    world.leaveAgent(0);
+    world.run(3s);
+    const int startsThen = world.startsOn(0);
+    for (int i = 0; i < 20; ++i) {
+      world.askGeneration(static_cast<std::size_t>(i % 2));
+      world.run(100ms);
+    }
+    EXPECT_EQ(world.startsOn(0), startsThen);
+    world.settle();
+    EXPECT_EQ(world.check(), "");
+    EXPECT_EQ(world.wholeAnswers(), world.requests());
+  }
+}
+
+TEST(Leaving, EveryServerInTurnWhileCallersKeepComing) {
+  WorldOptions options;
+  options.Engines = 3;
+  World world(options);
+  for (std::size_t agent = 0; agent < 3; ++agent) {
+    for (int i = 0; i < 10; ++i) {
+      world.askGeneration(static_cast<std::size_t>(i % 2));
+      world.run(50ms);
+    }
+    world.leaveAgent(agent);
+    for (int i = 0; i < 10; ++i) {
+      world.askGeneration(static_cast<std::size_t>(i % 2));
+      world.run(50ms);
+    }
+    while (world.runningOn(agent) > 0)
+      world.run(1s);
+    world.replaceAgent(agent);
+    world.run(2s);
+  }
+  world.settle();
+  EXPECT_EQ(world.check(), "");
+  EXPECT_EQ(world.wholeAnswers(), world.requests());
+}
+
+TEST(Leaving, ReclaimGivesTheTrueVerdictAtOnce) {
+  WorldOptions options;
+  options.Engines = 1;
+  World world(options);
+  world.endless(true);
+  for (int i = 0; i < 5; ++i)
+    world.askGeneration(0);
+  world.run(500ms);
+  world.inject(Fault::Reclaim, 0, 0);
+  world.run(1500ms);
+  EXPECT_EQ(world.refusedWith(base::Reason::Reclaimed), 5U);
+  EXPECT_EQ(world.check(), "");
+}
+
+TEST(Streams, StalledLinkIsNoDeadServer) {
+  World world({});
+  for (int i = 0; i < 6; ++i)
+    world.askGeneration(0);
+  world.run(100ms);
+  world.inject(Fault::CutToEntry, 0, 0);
+  world.inject(Fault::CutToAgent, 0, 1);
+  world.run(200ms);
+  world.settle();
+  EXPECT_EQ(world.check(), "");
+  EXPECT_EQ(world.wholeAnswers(), world.requests());
+}
+
+TEST(Streams, KilledEntryIsResumedThroughAnother) {
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    WorldOptions options;
+    options.Seed = seed;
+    World world(options);
+    world.askGeneration(0);
+    world.run(200ms);
+    world.inject(Fault::KillEntry, 0, 0);
+    world.settle();
+    EXPECT_EQ(world.check(), "");
+    EXPECT_EQ(world.wholeAnswers(), 1U);
+  }
+}
+
+TEST(Bundle, StalePeerAndRestartsDuringAnOutageNeverGoBack) {
+  World world({});
+  world.rollOut(2);
+  world.run(4s);
+  world.setKvDown(true);
+  // The one entry that reads the service restarts and learns from its peers.
+  world.inject(Fault::KillEntry, 0, 0);
+  world.inject(Fault::RestartAgent, 0, 0);
+  world.run(5s);
+  EXPECT_EQ(world.bundleOfEntry(0), 2U);
+  EXPECT_EQ(world.bundleOfAgent(0), 2U);
+  // The service comes back with an older state than the peers know.
+  world.rollOut(1);
+  world.setKvDown(false);
+  world.run(5s);
+  for (std::size_t i = 0; i < 2; ++i)
+    EXPECT_EQ(world.bundleOfEntry(i), 2U);
+  for (std::size_t i = 0; i < world.agents(); ++i)
+    EXPECT_EQ(world.bundleOfAgent(i), 2U);
+}
+
+TEST(Limits, OneOrganisationCannotTakeAnothersPlace) {
+  bundle::Organisation large{"large", "", {}};
+  large.Contract.MaxOpen = 3;
+  large.Contract.RequestsPerSecond = 1'000;
+  bundle::Organisation small = large;
+  small.Name = "small";
+  entry::OrganisationLimits limits;
+  const base::Instant now(1h);
+  for (int i = 0; i < 3; ++i)
+    EXPECT_TRUE(limits.tryOpen(now, large));
+  EXPECT_FALSE(limits.tryOpen(now, large));
+  EXPECT_TRUE(limits.tryOpen(now, small));
+  limits.close("large");
+  EXPECT_TRUE(limits.tryOpen(now, large));
+}
+
+TEST(Limits, RateComesBackWithTime) {
+  bundle::Organisation o{"o", "", {}};
+  o.Contract.MaxOpen = 1'000;
+  o.Contract.RequestsPerSecond = 10;
+  entry::OrganisationLimits limits;
+  const base::Instant now(1h);
+  int allowed = 0;
+  while (limits.tryOpen(now, o))
+    ++allowed;
+  EXPECT_EQ(allowed, 20);
+  EXPECT_EQ(limits.retryAfter(o), 100ms);
+  EXPECT_TRUE(limits.tryOpen(now + 100ms, o));
+  EXPECT_FALSE(limits.tryOpen(now + 100ms, o));
+}
+
+} // namespace
+} // namespace drumlanding::test
