Decide by survival: admission, yields, pacing, shares and routing, measured

Rejected: longer horizons (256 to 4,096 tokens make no difference), a risk per yield of 0.1 or 0.5, no reserve for organisations below their share.

The newest connection has the stream now; the older one is told so. Test: failed before the change, passes after it.

--- a/include/drumlanding/agent/scheduler.h
+++ b/include/drumlanding/agent/scheduler.h
@@ -59,7 +59,10 @@
   std::uint64_t CapacityTokens = 60'000;
   AdmissionRule Rule = AdmissionRule::Survival;
   /// Deviations of head-room for a stall weight of 1.
-  double RiskFactor = 0.8;
+  double RiskFactor = 1.5;
+  /// Added to the risk factor by each yield; it fades again. The forecast is
+  /// wrong while lengths drift, and yields are the proof.
+  double RiskPerYield = 0.25;
   /// Longest step that prefill may stretch to, for a gap weight of 1; zero
   /// leaves prefill unpaced.
   base::milliseconds StepTarget{60};
@@ -69,6 +72,10 @@
   std::uint32_t ReserveTokens = 4'000;
   /// Part of the memory that organisations above their share may fill.
   double OverdrawnPart = 0.9;
+  /// Forecasts look at most this many tokens ahead.
+  std::uint32_t LongestHorizon = 512;
+  /// A yielded generation that has waited this long makes others yield.
+  base::milliseconds ForceResumeAfter{6'000};
   /// Replaces the learnt lengths; the bench's oracle knows them all.
   std::function<double(const JobView &, std::uint32_t more)> Survival;
 };
@@ -145,6 +152,7 @@
   /// One organisation's queue and its use so far.
   struct Tenant {
     std::deque<JobId> Queue;
+    /// The contract's share and priority in one weight.
     double Share = 1;
     /// Tokens got, divided by the share.
     double Attained = 0;
@@ -168,12 +176,16 @@
   bool fits(Job &job);
   bool prefillAllows(const Job &job) const;
   double riskFactor() const;
+  void fadeRisk(base::Instant now);
   base::milliseconds stepTarget() const;
 
-  Job *nextWaiting(base::Instant now);
+  Job *nextWaiting();
   void relieve(base::Instant now, Decisions &out);
   Job *victim();
   bool resume(base::Instant now, Decisions &out);
+  void makeRoomForOldest(base::Instant now, Decisions &out);
+  void yield(base::Instant now, Job &job, Decisions &out);
+  bool fitsBack(const Job &job) const;
   void admit(base::Instant now, Decisions &out);
 
   SchedulerOptions Options;
@@ -186,6 +198,8 @@
   std::uint32_t OnEngine = 0;
   std::uint32_t WaitingJobs = 0;
   std::uint64_t PrefillInFlight = 0;
+  double RiskBoost = 0;
+  base::Instant RiskFadedAt{};
   double StallWeightSum = 0;
   double GapWeightSum = 0;
   PerHorizon MeanSum{};
--- a/include/drumlanding/base/verdict.h
+++ b/include/drumlanding/base/verdict.h
@@ -48,7 +48,8 @@
   Reclaimed,
   AnswerTooLarge,
   AnswerLost,
-  Last = AnswerLost,
+  TakenOver,
+  Last = TakenOver,
 };
 
 /// A final answer that is not the whole answer.
--- a/include/drumlanding/entry/core.h
+++ b/include/drumlanding/entry/core.h
@@ -289,6 +289,7 @@
   void sendRevoke(base::Now now, Session &s);
   void retryOrGiveUp(base::Now now, Session &s, base::Refusal why);
   void catchUp(base::Now now, Session &s, base::Refusal why);
+  bool takeOver(base::Now now, Session &s);
   void follow(base::Now now, Session &s);
   void begin(Session &s);
   void unfollow(Session &s);
--- a/src/agent/lengths.cc
+++ b/src/agent/lengths.cc
@@ -10,7 +10,7 @@
 namespace {
 
 /// Weight of the wider class in the hazard of a bucket, in observations.
-constexpr double ParentWeight = 12;
+constexpr double ParentWeight = 25;
 /// Observations of a bucket fade with this many newer ones.
 constexpr double Memory = 300;
 /// A curve is made anew after this many observations.
--- a/src/agent/main.cc
+++ b/src/agent/main.cc
@@ -11,7 +11,7 @@
 DEFINE_int32(reclaim_notice_ms, 0,
              "[process] milliseconds from SIGTERM until the VM vanishes; "
              "0 when it waits until all work is done");
-DEFINE_double(risk_factor, 0.8,
+DEFINE_double(risk_factor, 1.5,
               "[decisions] deviations of memory kept free at a stall weight "
               "of 1, 0 to 5");
 DEFINE_int32(step_target_ms, 60,
--- a/src/agent/scheduler.cc
+++ b/src/agent/scheduler.cc
@@ -16,13 +16,24 @@
 constexpr double ResumeRoomPart = 0.02;
 /// A prompt token costs this part of a generated one, in an organisation's use.
 constexpr double PromptCost = 0.2;
-/// A waiting generation moves up one priority after this time.
-constexpr base::seconds PriorityStep{4};
+/// A step of priority weighs as much as this factor of the share. Priorities
+/// are weights and not classes: the last one gets less, but never nothing.
+constexpr double PriorityFactor = 1.5;
+constexpr int MiddlePriority = 5;
 /// An organisation is above its share with this many times its even part.
 constexpr double OverdrawnFactor = 1.5;
 /// New observations weigh this much in the learnt costs.
 constexpr double Learning = 0.05;
 constexpr base::milliseconds LeastStepTarget{40};
+/// A yield should free this part of the memory.
+constexpr double ReliefPart = 0.025;
+/// The risk that yields have added fades by e in this time.
+constexpr double RiskFadeSeconds = 120;
+constexpr double MostRiskBoost = 3;
+
+double weightOf(const JobSpec &spec) {
+  return spec.Share * std::pow(PriorityFactor, spec.Priority - MiddlePriority);
+}
 
 double msOf(base::Duration d) {
   return std::chrono::duration<double, std::milli>(d).count();
@@ -79,7 +90,7 @@
 
 void Scheduler::add(base::Instant now, JobId id, const JobSpec &spec) {
   Tenant &tenant = Tenants[spec.Organisation];
-  tenant.Share = spec.Share;
+  tenant.Share = weightOf(spec);
   activate(tenant);
   tenant.Queue.push_back(id);
   ++WaitingJobs;
@@ -97,7 +108,7 @@
   double queues = 1;
   for (const auto &[name, tenant] : Tenants)
     if (!tenant.Queue.empty() && name != spec.Organisation)
-      queues += tenant.Share / spec.Share;
+      queues += tenant.Share / weightOf(spec);
   const double wait =
       std::min(static_cast<double>(WaitingJobs), ahead * queues) * AdmissionMs;
   return base::milliseconds(static_cast<std::int64_t>(wait));
@@ -210,9 +221,16 @@
 }
 
 double Scheduler::riskFactor() const {
+  const double risk = Options.RiskFactor + RiskBoost;
   if (OnEngine == 0)
-    return Options.RiskFactor;
-  return Options.RiskFactor * std::sqrt(StallWeightSum / OnEngine);
+    return risk;
+  return risk * std::sqrt(StallWeightSum / OnEngine);
+}
+
+void Scheduler::fadeRisk(base::Instant now) {
+  const std::chrono::duration<double> since = now - RiskFadedAt;
+  RiskFadedAt = now;
+  RiskBoost *= std::exp(-std::min(since.count() / RiskFadeSeconds, 50.0));
 }
 
 base::milliseconds Scheduler::stepTarget() const {
@@ -250,6 +268,8 @@
 bool Scheduler::fitsForecast(const Job &job, std::uint64_t limit) const {
   const double z = riskFactor();
   for (std::size_t i = 0; i < Horizons.size(); ++i) {
+    if (Horizons[i] > Options.LongestHorizon)
+      break;
     const double mean = MeanSum[i] + job.Mean[i];
     const double variance = std::max(VarianceSum[i] + job.Variance[i], 0.0);
     if (mean + z * std::sqrt(variance) > static_cast<double>(limit))
@@ -283,36 +303,35 @@
   return PlainStepMs + stretch <= static_cast<double>(stepTarget().count());
 }
 
-Scheduler::Job *Scheduler::nextWaiting(base::Instant now) {
-  Job *best = nullptr;
-  double bestPriority = 0;
-  double bestAttained = 0;
+Scheduler::Job *Scheduler::nextWaiting() {
+  Tenant *best = nullptr;
   for (auto &[name, tenant] : Tenants) {
     if (tenant.Queue.empty())
       continue;
-    Job &job = Jobs.at(tenant.Queue.front());
-    const auto steps = (now - job.Since) / PriorityStep;
-    const double priority = job.Spec.Priority + static_cast<double>(steps);
-    const bool isBetter =
-        !best || priority > bestPriority ||
-        (priority == bestPriority && tenant.Attained < bestAttained);
-    if (!isBetter)
-      continue;
-    best = &job;
-    bestPriority = priority;
-    bestAttained = tenant.Attained;
+    // One that has just come starts level with the least; it goes first, since
+    // it has nothing on the engine yet.
+    const auto rank = [](const Tenant &t) {
+      return std::pair(t.Attained, t.UsedTokens);
+    };
+    if (!best || rank(tenant) < rank(*best))
+      best = &tenant;
   }
-  return best;
+  return best ? &Jobs.at(best->Queue.front()) : nullptr;
 }
 
 Scheduler::Job *Scheduler::victim() {
   // The fewest yields so far go first: this bounds them for each generation.
-  // Then the lowest priority, then the cheapest to bring back.
+  // Then the lowest priority, then the cheapest to bring back among those
+  // that make enough room: several small ones would all have to wait.
   Job *best = nullptr;
+  const double enough =
+      static_cast<double>(Options.CapacityTokens) * ReliefPart;
   const auto rank = [&](const Job &job) {
     const bool isProtected = job.Yields >= Options.MaxYields;
+    const auto size = static_cast<double>(job.tokens());
+    const bool isSmall = size < enough;
     return std::tuple(isProtected, job.Yields, job.Spec.Priority,
-                      job.Spec.StallWeight, static_cast<double>(job.tokens()));
+                      job.Spec.StallWeight, isSmall, isSmall ? -size : size);
   };
   for (auto &[id, job] : Jobs) {
     if (job.State != JobState::Running)
@@ -333,31 +352,57 @@
     // The last one keeps the engine: yielding it would help nobody.
     if (!job || OnEngine < 2)
       return;
-    const bool allProtected =
-        std::none_of(Jobs.begin(), Jobs.end(), [&](const auto &entry) {
-          return entry.second.State == JobState::Running &&
-                 entry.second.Yields < Options.MaxYields;
-        });
-    base::invariant(base::Invariant::BoundedYields,
-                    job->Yields < Options.MaxYields || allProtected,
-                    job->Spec.Organisation);
-    job->State = JobState::Yielding;
-    job->Since = now;
-    ++job->Yields;
-    YieldingTokens += job->tokens();
-    out.Yield.push_back(job->Id);
+    yield(now, *job, out);
+  }
+}
+
+void Scheduler::yield(base::Instant now, Job &job, Decisions &out) {
+  const bool allProtected =
+      std::none_of(Jobs.begin(), Jobs.end(), [&](const auto &entry) {
+        return entry.second.State == JobState::Running &&
+               entry.second.Yields < Options.MaxYields;
+      });
+  base::invariant(base::Invariant::BoundedYields,
+                  job.Yields < Options.MaxYields || allProtected,
+                  job.Spec.Organisation);
+  job.State = JobState::Yielding;
+  job.Since = now;
+  ++job.Yields;
+  YieldingTokens += job.tokens();
+  RiskBoost = std::min(RiskBoost + Options.RiskPerYield, MostRiskBoost);
+  out.Yield.push_back(job.Id);
+}
+
+bool Scheduler::fitsBack(const Job &job) const {
+  const auto room = static_cast<std::uint64_t>(
+      static_cast<double>(Options.CapacityTokens) * ResumeRoomPart);
+  return OnEngine == 0 ||
+         UsedTokens + job.tokens() + room + StepsToYield * (OnEngine + 1ULL) <=
+             Options.CapacityTokens;
+}
+
+/// Bounds the wait of what had to yield: others that have yielded less make
+/// room for it.
+void Scheduler::makeRoomForOldest(base::Instant now, Decisions &out) {
+  if (Yielded.empty() || YieldingTokens > 0)
+    return;
+  const Job &oldest = Jobs.at(Yielded.front());
+  if (now - oldest.Since < Options.ForceResumeAfter)
+    return;
+  std::uint64_t freed = 0;
+  while (!fitsBack(oldest) && freed < oldest.tokens()) {
+    Job *job = victim();
+    if (!job || job->Yields >= oldest.Yields)
+      return;
+    freed += job->tokens();
+    yield(now, *job, out);
   }
 }
 
 bool Scheduler::resume(base::Instant now, Decisions &out) {
   while (!Yielded.empty()) {
     Job &job = Jobs.at(Yielded.front());
-    const auto room = static_cast<std::uint64_t>(
-        static_cast<double>(Options.CapacityTokens) * ResumeRoomPart);
-    const bool fits =
-        UsedTokens + job.tokens() + room + StepsToYield * (OnEngine + 1ULL) <=
-        Options.CapacityTokens;
-    if ((!fits && OnEngine > 0) || !prefillAllows(job))
+    if (!fitsBack(job) || !prefillAllows(job))
       return false;
     Yielded.pop_front();
     putOnEngine(now, job);
@@ -367,7 +412,7 @@
 }
 
 void Scheduler::admit(base::Instant now, Decisions &out) {
-  while (Job *job = nextWaiting(now)) {
+  while (Job *job = nextWaiting()) {
     if (!prefillAllows(*job) || !fits(*job))
       return;
     Tenants[job->Spec.Organisation].Queue.pop_front();
@@ -383,9 +428,12 @@
 
 Decisions Scheduler::decide(base::Instant now) {
   Decisions out;
+  fadeRisk(now);
   relieve(now, out);
   // What had to yield comes back before any new work.
-  if (resume(now, out) && YieldingTokens == 0)
+  if (!resume(now, out))
+    makeRoomForOldest(now, out);
+  else if (YieldingTokens == 0)
     admit(now, out);
   return out;
 }
--- a/src/base/verdict.cc
+++ b/src/base/verdict.cc
@@ -57,6 +57,8 @@
      "The backend server was reclaimed at short notice."},
     {Reason::AnswerTooLarge, "answer-too-large", 502,
      "The service's answer is larger than allowed."},
+    {Reason::TakenOver, "taken-over", 409,
+     "Another connection follows this stream now."},
     {Reason::AnswerLost, "answer-lost", 502, "The answer was lost."},
 };
 
--- a/src/entry/core-streams.cc
+++ b/src/entry/core-streams.cc
@@ -16,7 +16,25 @@
 using base::Result;
 using base::Verdict;
 
+/// Makes sure that one connection follows a stream: the newest. A caller that
+/// came back may have left a connection behind that nobody reads. Returns false
+/// when `s` itself is the older one.
+bool Core::takeOver(base::Now now, Session &s) {
+  const auto following = Follows.find(s.Server);
+  if (following == Follows.end())
+    return true;
+  const auto stream = following->second.Streams.find(s.RequestId);
+  if (stream == following->second.Streams.end())
+    return true;
+  const bool isOlder = stream->second > s.Id;
+  Session &loser = isOlder ? s : Sessions.at(stream->second);
+  giveUp(now, loser, {Verdict::Ran, Reason::TakenOver, {}});
+  return !isOlder;
+}
+
 void Core::follow(base::Now now, Session &s) {
+  if (!takeOver(now, s))
+    return;
   s.State = Phase::Streaming;
   Following &following = Follows[s.Server];
   if (following.Streams.empty())
--- a/test/promise-test.cc
+++ b/test/promise-test.cc
@@ -96,6 +96,23 @@
   }
 }
 
+TEST(Streams, TheNewestOfTwoConnectionsGetsTheStream) {
+  // The reply to the first resume comes after that to the second.
+  WorldOptions options;
+  options.Entries = 1;
+  World world(options);
+  world.endless(true);
+  world.askGeneration(0);
+  world.run(300ms);
+  world.injectAt(Step::AttachReply, Fault::Reorder);
+  world.dropCaller(false);
+  world.run(10ms);
+  world.dropCaller(false);
+  world.run(100s);
+  EXPECT_EQ(world.check(), "");
+  EXPECT_EQ(world.wholeAnswers(), 1U);
+}
+
 TEST(Bundle, StalePeerAndRestartsDuringAnOutageNeverGoBack) {
   World world({});
   world.rollOut(2);
--- /dev/null
+++ b/test/scheduler-test.cc
@@ -0,0 +1,208 @@
+// The rules of the scheduler and router, each with the failure it is for.
+#include "drumlanding/agent/scheduler.h"
+#include "drumlanding/entry/router.h"
+#include "policy-run.h"
+
+#include <gtest/gtest.h>
+
+namespace drumlanding::agent {
+namespace {
+
+using namespace std::chrono_literals;
+
+JobSpec spec(const std::string &organisation, std::uint32_t prompt = 100) {
+  JobSpec s;
+  s.Organisation = organisation;
+  s.Class = lengthClass(organisation, "m");
+  s.PromptTokens = prompt;
+  s.MaxTokens = 20'000;
+  s.MaxQueueWait = 10s;
+  return s;
+}
+
+TEST(Lengths, LearnsAndFollowsADrift) {
+  LengthModel lengths;
+  const LengthClass cls = lengthClass("o", "m");
+  for (int i = 0; i < 500; ++i) {
+    lengths.passed(cls, 0, 100);
+    lengths.ended(cls, 100);
+  }
+  EXPECT_LT(lengths.survival(cls, 0, 400), 0.1);
+  EXPECT_NEAR(lengths.expectedRemaining(cls, 0, 20'000), 100, 40);
+  for (int i = 0; i < 500; ++i) {
+    lengths.passed(cls, 0, 800);
+    lengths.ended(cls, 800);
+  }
+  EXPECT_GT(lengths.survival(cls, 0, 400), 0.6);
+}
+
+TEST(Lengths, RunningOnesCountBeforeAnyEnds) {
+  // All that ended were short; but many are running far beyond.
+  LengthModel lengths;
+  const LengthClass cls = lengthClass("o", "m");
+  for (int i = 0; i < 300; ++i) {
+    lengths.passed(cls, 0, 50);
+    lengths.ended(cls, 50);
+  }
+  const double before = lengths.survival(cls, 0, 1'000);
+  for (int i = 0; i < 300; ++i)
+    lengths.passed(cls, 0, 2'000);
+  EXPECT_GT(lengths.survival(cls, 0, 1'000), before * 3);
+}
+
+TEST(Lengths, UnknownClassUsesWhatTheOthersShow) {
+  LengthModel lengths;
+  for (int i = 0; i < 1'000; ++i) {
+    lengths.passed(1, 0, 20);
+    lengths.ended(1, 20);
+  }
+  EXPECT_LT(lengths.survival(2, 0, 200), 0.15);
+}
+
+TEST(Scheduler, MemoryFullInMidDecodeMakesOneYieldAndComeBack) {
+  SchedulerOptions options;
+  options.CapacityTokens = 1'000;
+  options.Rule = AdmissionRule::Reserve;
+  options.ReserveTokens = 400;
+  Scheduler s(options);
+  base::Instant now(1h);
+  s.add(now, 1, spec("a"));
+  s.add(now, 2, spec("b"));
+  std::vector<JobId> started = s.decide(now).Start;
+  s.produced(now, started.at(0), 1);
+  for (JobId id : s.decide(now).Start)
+    started.push_back(id);
+  ASSERT_EQ(started.size(), 2U);
+  s.produced(now, started.at(1), 1);
+  // Both go on until the memory is full.
+  std::vector<JobId> yielded;
+  for (int i = 0; i < 2'000 && yielded.empty(); ++i) {
+    s.produced(now, 1, 1);
+    s.produced(now, 2, 1);
+    yielded = s.decide(now).Yield;
+    EXPECT_LE(s.load().UsedTokens, 1'000U);
+  }
+  ASSERT_EQ(yielded.size(), 1U);
+  const JobId victim = yielded[0];
+  s.yielded(now, victim);
+  EXPECT_TRUE(s.decide(now).Start.empty());
+  // What yielded goes before new work.
+  s.add(now, 3, spec("c"));
+  s.remove(now, victim == 1 ? 2 : 1, true);
+  const Decisions back = s.decide(now);
+  ASSERT_FALSE(back.Start.empty());
+  EXPECT_EQ(back.Start[0], victim);
+  EXPECT_EQ(s.yieldsOf(victim), 1U);
+}
+
+TEST(Scheduler, PrefillIsPaced) {
+  SchedulerOptions options;
+  Scheduler s(options);
+  const base::Instant now(1h);
+  for (JobId id = 1; id <= 20; ++id)
+    s.add(now, id, spec("a", 400));
+  // 0.1 ms a token above a step of 30 ms: one prompt of 400 at a time.
+  const auto first = s.decide(now).Start;
+  EXPECT_EQ(first.size(), 1U);
+  EXPECT_TRUE(s.decide(now).Start.empty());
+  s.produced(now, first[0], 1);
+  EXPECT_EQ(s.decide(now).Start.size(), 1U);
+}
+
+TEST(Scheduler, ABurstDoesNotGoBeforeTheOthers) {
+  SchedulerOptions options;
+  options.StepTarget = base::milliseconds(0);
+  Scheduler s(options);
+  const base::Instant now(1h);
+  for (JobId id = 1; id <= 1'000; ++id)
+    s.add(now, id, spec("large"));
+  const auto first = s.decide(now).Start;
+  for (JobId id : first)
+    s.produced(now, id, 50);
+  s.add(now, 5'000, spec("small"));
+  for (std::size_t i = 0; i < first.size() / 2; ++i)
+    s.remove(now, first[i], true);
+  // The large one's jobs have faded from the forecast; the small one is next.
+  const auto next = s.decide(now).Start;
+  ASSERT_FALSE(next.empty()) << s.load().UsedTokens;
+  EXPECT_EQ(next[0], 5'000U);
+}
+
+TEST(Router, StaysWithThePrefixUntilItIsBusy) {
+  const entry::Router router({});
+  base::Random random(1);
+  const base::Instant now(1h);
+  std::vector<entry::ServerView> views(8);
+  for (std::size_t i = 0; i < views.size(); ++i)
+    views[i] = {i + 1, true, 0, 10'000, 60'000, 0, now, 0};
+  const entry::RouteQuery query{77, 600};
+  const auto affine = router.choose(views, query, now, random);
+  EXPECT_EQ(router.choose(views, query, now, random), affine);
+  views[*affine].UsedTokens = 59'000;
+  EXPECT_NE(router.choose(views, query, now, random), affine);
+}
+
+TEST(Router, NoHerdOntoTheNewestReport) {
+  const entry::Router router({});
+  base::Random random(1);
+  const base::Instant now(1h);
+  std::vector<entry::ServerView> views(8);
+  for (std::size_t i = 0; i < views.size(); ++i)
+    views[i] = {i + 1, true, 0, 40'000, 60'000, 0, now, 0};
+  views[3].UsedTokens = 1'000;
+  std::vector<int> got(views.size());
+  for (int i = 0; i < 400; ++i) {
+    const auto at = router.choose(views, {0, 600}, now, random);
+    ++got[*at];
+    ++views[*at].SentSince;
+  }
+  // 40,000 tokens of room are 65 requests; then it is like the others.
+  EXPECT_LT(got[3], 130);
+}
+
+TEST(Router, UnusableServersGetNothing) {
+  const entry::Router router({});
+  base::Random random(1);
+  const base::Instant now(1h);
+  std::vector<entry::ServerView> views(5);
+  for (std::size_t i = 0; i < views.size(); ++i)
+    views[i] = {i + 1, i == 2, 0, 0, 60'000, 0, now, 0};
+  for (int i = 0; i < 100; ++i)
+    EXPECT_EQ(router.choose(views, {0, 600}, now, random), 2U);
+  views[2].IsUsable = false;
+  EXPECT_FALSE(router.choose(views, {5, 600}, now, random).has_value());
+}
+
+/// What the bench must show on every run, on a short one with fixed seeds.
+TEST(Policy, FewerPreemptionsAndShorterGapsThanGreedy) {
+  for (auto lengths :
+       {tools::LengthSource::Lernwerk, tools::LengthSource::Pwani}) {
+    tools::PolicyOptions o;
+    o.Lengths = lengths;
+    o.Load = 1.4;
+    o.Saturation = 1'300;
+    o.Time = base::seconds(300);
+    const auto own = tools::runPolicy(o);
+    o.Policy = tools::PolicyKind::Greedy;
+    const auto greedy = tools::runPolicy(o);
+    EXPECT_LT(own.PreemptionsPerThousand, 0.2 * greedy.PreemptionsPerThousand);
+    EXPECT_LT(own.StallMsPerRequest, 0.2 * greedy.StallMsPerRequest);
+    EXPECT_LT(own.GapP999Ms, 0.8 * greedy.GapP999Ms);
+    EXPECT_GT(own.TokensPerSecond, 0.9 * greedy.TokensPerSecond);
+  }
+}
+
+TEST(Policy, WeightsOfTheContractMoveTheRightFigures) {
+  tools::PolicyOptions o;
+  o.Lengths = tools::LengthSource::Pwani;
+  o.Load = 1.2;
+  o.Saturation = 1'200;
+  o.Time = base::seconds(300);
+  const auto plain = tools::runPolicy(o);
+  o.StallWeight = 4;
+  const auto careful = tools::runPolicy(o);
+  EXPECT_LE(careful.StallMsPerRequest, plain.StallMsPerRequest);
+}
+
+} // namespace
+} // namespace drumlanding::agent
--- a/test/world.cc
+++ b/test/world.cc
@@ -718,13 +718,14 @@
   }
 }
 
-void World::dropCaller() {
+void World::dropCaller(bool isNoticed) {
   for (const auto &caller : Callers) {
     if (caller->IsCall || caller->IsOver || caller->RequestId.empty())
       continue;
     CallerOfSession.erase(caller->Session);
-    toEntry(caller->Entry, EntryNodes[caller->Entry]->Life,
-            entry::SessionClosed{caller->Session});
+    if (isNoticed)
+      toEntry(caller->Entry, EntryNodes[caller->Entry]->Life,
+              entry::SessionClosed{caller->Session});
     resume(*caller);
     return;
   }
--- a/test/world.h
+++ b/test/world.h
@@ -105,8 +105,9 @@
   /// Calls the plain service with a key; `repeats` sends it again elsewhere.
   void askCall(std::size_t entry, bool repeats);
   void cancelOne(std::size_t entry);
-  /// Makes the next cut-off caller come back, see Step::AttachRequest.
-  void dropCaller();
+  /// Makes a caller lose its connection and come back. The entry may not notice
+  /// that the old connection is gone.
+  void dropCaller(bool isNoticed = true);
 
   // Faults.
   void inject(Fault fault, std::size_t entry, std::size_t agent);
--- a/tools/engine-model.cc
+++ b/tools/engine-model.cc
@@ -27,21 +27,23 @@
   return static_cast<std::uint32_t>(std::clamp<double>(n, 1, most));
 }
 
-/// Short answers with a heavy tail: two lines or forty.
+/// Short answers with a heavy tail: two lines or forty. The prompt holds the
+/// exercise and what was said before.
 RequestSizes drawLernwerk(base::Random &random) {
   const bool isLong = random.chance(0.03);
   const double length =
       isLong ? pareto(random, 800, 1.3) : logNormal(random, 150, 0.9);
-  return {clampTokens(logNormal(random, 180, 0.6), 800),
+  return {clampTokens(logNormal(random, 500, 0.5), 950),
           clampTokens(length, LongestOutput)};
 }
 
-/// Classifications of a few tokens, and summaries that run far on.
+/// Classifications of a few tokens, and summaries that run far on. The prompt
+/// holds a part of the transcript.
 RequestSizes drawPwani(base::Random &random) {
   const bool isSummary = random.chance(0.35);
   const double length =
       isSummary ? logNormal(random, 700, 1.0) : logNormal(random, 20, 0.7);
-  return {clampTokens(logNormal(random, 300, 0.5), 900),
+  return {clampTokens(logNormal(random, 550, 0.5), 950),
           clampTokens(length, LongestOutput)};
 }
 
--- /dev/null
+++ b/tools/policy-run.cc
@@ -0,0 +1,559 @@
+#include "policy-run.h"
+
+#include <algorithm>
+#include <cmath>
+#include <memory>
+#include <unordered_map>
+
+namespace drumlanding::tools {
+namespace {
+
+using agent::JobId;
+using base::Duration;
+using base::Instant;
+using namespace std::chrono_literals;
+
+constexpr std::uint32_t LongestOutput = 20'000;
+constexpr Duration ReportEvery = 500ms;
+constexpr double DriftFactor = 3;
+constexpr int LargeOrganisations = 2;
+constexpr double LargeShare = 4;
+constexpr Duration ReclaimTime = 30s;
+constexpr Duration StalledTime = 60s;
+/// Admissions are counted over this time to predict a wait.
+constexpr Duration RateWindow = 20s;
+
+double secondsOf(Duration d) {
+  return std::chrono::duration<double>(d).count();
+}
+double msOf(Duration d) { return secondsOf(d) * 1'000; }
+
+Duration fromSeconds(double s) {
+  return Duration(static_cast<std::int64_t>(s * 1e9));
+}
+
+/// Counts times in buckets that are 1% wide.
+class TimeHistogram {
+public:
+  void add(Duration d) {
+    const double ms = std::max(msOf(d), LeastMs);
+    const auto at = static_cast<std::size_t>(std::log(ms / LeastMs) / Width);
+    if (at >= Counts.size())
+      Counts.resize(at + 1);
+    ++Counts[at];
+    ++Total;
+  }
+  double quantileMs(double part) const {
+    const auto wanted =
+        static_cast<std::uint64_t>(part * static_cast<double>(Total));
+    std::uint64_t sum = 0;
+    for (std::size_t i = 0; i < Counts.size(); ++i) {
+      sum += Counts[i];
+      if (sum > wanted)
+        return LeastMs * std::exp(Width * (static_cast<double>(i) + 0.5));
+    }
+    return 0;
+  }
+
+private:
+  static constexpr double LeastMs = 0.1;
+  static constexpr double Width = 0.01;
+  std::vector<std::uint64_t> Counts;
+  std::uint64_t Total = 0;
+};
+
+/// One request from its arrival to its end.
+struct Request {
+  int Organisation = 0;
+  EngineJob Job;
+  Instant Arrived{};
+  Instant LastToken{};
+  /// Off the engine since its last token.
+  bool WasOff = false;
+  bool IsMeasured = false;
+  std::size_t Engine = 0;
+};
+
+/// An engine, its agent's scheduler, and its last report.
+struct Worker {
+  std::unique_ptr<agent::Scheduler> Scheduler;
+  std::unique_ptr<EngineModel> Engine;
+  EngineStep Step;
+  bool IsStepping = false;
+  Instant StepEnds{};
+  std::deque<Instant> Admissions;
+  entry::ServerView View;
+  struct LateReport {
+    Instant VisibleAt;
+    entry::ServerView View;
+  };
+  std::deque<LateReport> Reports;
+  bool IsReclaimed = false;
+};
+
+double shareOf(int organisation) {
+  return organisation < LargeOrganisations ? LargeShare : 1;
+}
+
+class PolicyRun {
+public:
+  explicit PolicyRun(const PolicyOptions &options)
+      : Options(options), Random(options.Seed), RouteRandom(options.Seed + 1),
+        Routing(routerOptions()) {
+    for (int i = 0; i < Options.Engines; ++i)
+      Workers.push_back(makeWorker(i));
+    measureMeanLength();
+    ArrivalsPerSecond =
+        Options.Load * Options.Engines * Options.Saturation / MeanLength;
+  }
+
+  PolicyResult run() {
+    const Instant end = Start + Options.Time;
+    NextArrival = Start + nextGap();
+    NextReport = Start;
+    while (true) {
+      Now = std::min(NextArrival, NextReport);
+      std::size_t stepping = Workers.size();
+      for (std::size_t i = 0; i < Workers.size(); ++i)
+        if (Workers[i].IsStepping && Workers[i].StepEnds < Now) {
+          Now = Workers[i].StepEnds;
+          stepping = i;
+        }
+      if (Now >= end)
+        break;
+      strike();
+      if (stepping < Workers.size())
+        endStep(stepping);
+      else if (Now == NextReport)
+        report();
+      else
+        arrive();
+    }
+    return result();
+  }
+
+private:
+  entry::RouterOptions routerOptions() const {
+    entry::RouterOptions r;
+    if (Options.Policy == PolicyKind::RandomRoute)
+      r.Rule = entry::RouteRule::Random;
+    if (Options.Policy == PolicyKind::LeastLoaded)
+      r.Rule = entry::RouteRule::LeastLoaded;
+    return r;
+  }
+
+  Worker makeWorker(int i) {
+    Worker w;
+    agent::SchedulerOptions o = Options.Scheduling;
+    o.CapacityTokens = Options.Engine.CapacityTokens;
+    if (Options.Policy == PolicyKind::Greedy)
+      o.Rule = agent::AdmissionRule::Greedy;
+    if (Options.Policy == PolicyKind::Reserve)
+      o.Rule = agent::AdmissionRule::Reserve;
+    const bool isBaseline = Options.Policy == PolicyKind::Greedy ||
+                            Options.Policy == PolicyKind::Reserve ||
+                            Options.Policy == PolicyKind::Oracle;
+    if (isBaseline)
+      o.StepTarget = base::milliseconds(0);
+    if (Options.Policy == PolicyKind::Oracle) {
+      o.RiskFactor = 0;
+      o.OverdrawnPart = 1;
+      o.Survival = [this](const agent::JobView &view, std::uint32_t more) {
+        const Request &r = Requests.at(view.Id);
+        return view.Produced + more < r.Job.Length ? 1.0 : 0.0;
+      };
+    }
+    w.Scheduler = std::make_unique<agent::Scheduler>(std::move(o));
+    w.Engine = std::make_unique<EngineModel>(Options.Engine);
+    w.View.NameHash = base::mix64(static_cast<std::uint64_t>(i), 99);
+    w.View.CapacityTokens = Options.Engine.CapacityTokens;
+    w.View.ReportedAt = Start;
+    return w;
+  }
+
+  // What arrives.
+
+  RequestSizes draw(base::Random &random) const {
+    switch (Options.Lengths) {
+    case LengthSource::Pwani:
+      return drawSizes(LengthShape::Pwani, random);
+    case LengthSource::Mixed:
+      return drawSizes(LengthShape::Mixed, random);
+    case LengthSource::File: {
+      RequestSizes sizes = drawSizes(LengthShape::Lernwerk, random);
+      sizes.Length =
+          Options.FileLengths[random.below(Options.FileLengths.size())];
+      return sizes;
+    }
+    default:
+      return drawSizes(LengthShape::Lernwerk, random);
+    }
+  }
+
+  void measureMeanLength() {
+    base::Random sampler(12345);
+    constexpr int Samples = 200'000;
+    double lengths = 0;
+    for (int i = 0; i < Samples; ++i)
+      lengths += draw(sampler).Length;
+    MeanLength = lengths / Samples;
+  }
+
+  Duration nextGap() {
+    double rate = ArrivalsPerSecond;
+    if (hasDrifted() && Options.Lengths == LengthSource::Drift)
+      rate /= DriftFactor;
+    return fromSeconds(-std::log(1 - Random.unit()) / rate);
+  }
+
+  bool hasDrifted() const { return Now - Start > Options.Time / 2; }
+
+  int drawOrganisation() {
+    double total = 0;
+    const auto weight = [&](int o) {
+      const bool bursts = o == 0 && hasDrifted();
+      return shareOf(o) * (bursts ? Options.Burst : 1);
+    };
+    for (int o = 0; o < Options.Organisations; ++o)
+      total += weight(o);
+    double at = Random.unit() * total;
+    for (int o = 0; o < Options.Organisations; ++o) {
+      at -= weight(o);
+      if (at < 0)
+        return o;
+    }
+    return Options.Organisations - 1;
+  }
+
+  void arrive() {
+    // The extra requests of a burst come on top of everybody's usual ones.
+    double speedUp = 1;
+    if (Options.Burst > 1 && hasDrifted()) {
+      const double usual = LargeOrganisations * LargeShare +
+                           (Options.Organisations - LargeOrganisations);
+      speedUp = (usual + LargeShare * (Options.Burst - 1)) / usual;
+    }
+    NextArrival = Now + Duration(static_cast<std::int64_t>(
+                            static_cast<double>(nextGap().count()) / speedUp));
+    RequestSizes sizes = draw(Random);
+    if (Options.Lengths == LengthSource::Drift && hasDrifted())
+      sizes.Length = std::min<std::uint32_t>(
+          LongestOutput,
+          static_cast<std::uint32_t>(sizes.Length * DriftFactor));
+    const JobId id = ++LastId;
+    Request &r = Requests[id];
+    r.Organisation = drawOrganisation();
+    r.Arrived = Now;
+    r.IsMeasured = isMeasuredNow(r.Organisation);
+    r.Job.Id = id;
+    r.Job.PromptTokens = sizes.PromptTokens;
+    r.Job.Length = sizes.Length;
+    if (Random.chance(Options.SharedPart)) {
+      r.Job.Prefix =
+          1 + Random.below(static_cast<std::uint64_t>(Options.Prefixes));
+      r.Job.PrefixTokens = sizes.PromptTokens / 2;
+    }
+    if (r.IsMeasured)
+      ++Result.Requests;
+    route(id, r);
+  }
+
+  bool isMeasuredNow(int organisation) const {
+    // A drift or a burst is what such a run is about.
+    const bool isSecondHalfOnly = Options.Lengths == LengthSource::Drift ||
+                                  Options.Burst > 1 ||
+                                  Options.OnlyOrganisation != -1;
+    if (Now - Start < Options.WarmUp || (isSecondHalfOnly && !hasDrifted()))
+      return false;
+    if (Options.OnlyOrganisation == -2)
+      return organisation != 0;
+    return Options.OnlyOrganisation == -1 ||
+           Options.OnlyOrganisation == organisation;
+  }
+
+  void route(JobId id, Request &r) {
+    std::vector<entry::ServerView> views;
+    for (const Worker &w : Workers)
+      views.push_back(w.View);
+    const entry::RouteQuery query{
+        Options.Policy == PolicyKind::Greedy ? 0 : r.Job.Prefix,
+        static_cast<double>(r.Job.PromptTokens) + MeanLength};
+    const auto chosen = Routing.choose(views, query, Now, RouteRandom);
+    if (!chosen) {
+      refuse(id, r);
+      return;
+    }
+    r.Engine = *chosen;
+    Worker &w = Workers[*chosen];
+    ++w.View.SentSince;
+    agent::JobSpec spec;
+    spec.Organisation = "o" + std::to_string(r.Organisation);
+    spec.Class = agent::lengthClass(spec.Organisation, "model");
+    spec.Share = shareOf(r.Organisation);
+    spec.StallWeight = Options.StallWeight;
+    spec.GapWeight = Options.GapWeight;
+    spec.PromptTokens = r.Job.PromptTokens;
+    spec.MaxTokens = LongestOutput;
+    spec.MaxQueueWait = Options.MaxQueueWait;
+    if (predictedWait(w, spec) > Options.MaxQueueWait) {
+      refuse(id, r);
+      return;
+    }
+    w.Scheduler->add(Now, id, spec);
+    if (!w.IsStepping)
+      beginStep(*chosen);
+  }
+
+  base::milliseconds predictedWait(Worker &w, const agent::JobSpec &spec) {
+    if (Options.Policy != PolicyKind::Greedy)
+      return w.Scheduler->predictedWait(spec);
+    while (!w.Admissions.empty() && Now - w.Admissions.front() > RateWindow)
+      w.Admissions.pop_front();
+    const double rate = std::max<double>(
+        static_cast<double>(w.Admissions.size()) / secondsOf(RateWindow), 0.1);
+    return base::milliseconds(static_cast<std::int64_t>(
+        1'000 * static_cast<double>(w.Engine->queued()) / rate));
+  }
+
+  void refuse(JobId id, const Request &r) {
+    if (r.IsMeasured)
+      ++Result.Refused;
+    Requests.erase(id);
+  }
+
+  // Engines.
+
+  void beginStep(std::size_t i) {
+    Worker &w = Workers[i];
+    if (w.IsReclaimed)
+      return;
+    const agent::Decisions decisions = w.Scheduler->decide(Now);
+    for (JobId id : decisions.Yield) {
+      Request &r = Requests.at(id);
+      r.Job = w.Engine->stop(id);
+      setOff(r);
+      w.Scheduler->yielded(Now, id);
+    }
+    // Room that a yield has made is used in the same step.
+    const agent::Decisions more =
+        decisions.Yield.empty() ? agent::Decisions() : w.Scheduler->decide(Now);
+    for (const auto *starts : {&decisions.Start, &more.Start})
+      for (JobId id : *starts)
+        w.Engine->submit(Requests.at(id).Job);
+    w.Step = w.Engine->step();
+    for (JobId id : w.Step.Preempted)
+      setOff(Requests.at(id));
+    w.IsStepping = w.Step.Took.count() > 0;
+    w.StepEnds = Now + w.Step.Took;
+  }
+
+  void setOff(Request &r) {
+    r.WasOff = true;
+    if (isMeasuredNow(r.Organisation))
+      ++Preemptions;
+  }
+
+  void endStep(std::size_t i) {
+    Worker &w = Workers[i];
+    w.IsStepping = false;
+    w.Scheduler->stepTook(w.Step.Took, w.Step.PrefillTokens);
+    for (const EngineToken &token : w.Step.Tokens)
+      deliver(w, token);
+    beginStep(i);
+  }
+
+  void deliver(Worker &w, const EngineToken &token) {
+    const auto it = Requests.find(token.Id);
+    if (it == Requests.end())
+      return;
+    Request &r = it->second;
+    w.Scheduler->produced(Now, token.Id, 1);
+    if (isMeasuredNow(r.Organisation))
+      ++Tokens;
+    if (Now - Start > Options.WarmUp)
+      OrganisationTokens[r.Organisation] += 1 / shareOf(r.Organisation);
+    if (token.Index == 0)
+      w.Admissions.push_back(Now);
+    if (r.IsMeasured && token.Index == 0)
+      FirstTokens.add(Now - r.Arrived);
+    if (r.IsMeasured && token.Index > 0) {
+      const Duration gap = Now - r.LastToken;
+      Gaps.add(gap);
+      if (r.WasOff) {
+        Stall += gap;
+        LongestStall = std::max(LongestStall, gap);
+      }
+    }
+    r.WasOff = false;
+    r.LastToken = Now;
+    if (!token.IsLast)
+      return;
+    w.Scheduler->remove(Now, token.Id, true);
+    Requests.erase(it);
+  }
+
+  // Reports and faults.
+
+  void report() {
+    NextReport = Now + ReportEvery;
+    for (std::size_t i = 0; i < Workers.size(); ++i) {
+      Worker &w = Workers[i];
+      const bool isStalled = Options.Fault == PolicyFault::ReportStalled &&
+                             i == 0 && hasDrifted() &&
+                             Now - Start < Options.Time / 2 + StalledTime;
+      if (!isStalled && !w.IsReclaimed) {
+        const agent::SchedulerLoad load = w.Scheduler->load();
+        entry::ServerView view = w.View;
+        view.UsedTokens = load.UsedTokens;
+        view.Waiting = load.Waiting;
+        view.ReportedAt = Now;
+        view.IsUsable = true;
+        w.Reports.push_back({Now + Options.ReportLag, view});
+      }
+      while (!w.Reports.empty() && w.Reports.front().VisibleAt <= Now) {
+        // What was sent since the report was made is not in it.
+        const std::uint32_t recent =
+            Options.ReportLag.count() == 0 ? 0 : w.View.SentSince / 2;
+        w.View = w.Reports.front().View;
+        w.View.SentSince = recent;
+        w.Reports.pop_front();
+      }
+      w.View.IsUsable = !w.IsReclaimed;
+    }
+  }
+
+  void strike() {
+    if (Options.Fault != PolicyFault::EngineReclaimed || Workers.size() < 2)
+      return;
+    Worker &w = Workers[0];
+    const Duration since = Now - Start - Options.Time / 2;
+    if (!w.IsReclaimed && since.count() > 0 && since < ReclaimTime) {
+      w = makeWorker(0);
+      w.IsReclaimed = true;
+      w.View.IsUsable = false;
+      std::erase_if(Requests, [&](const auto &entry) {
+        if (entry.second.Engine != 0)
+          return false;
+        Result.Refused += entry.second.IsMeasured ? 1 : 0;
+        return true;
+      });
+    }
+    if (w.IsReclaimed && since >= ReclaimTime)
+      w.IsReclaimed = false;
+  }
+
+  PolicyResult result() {
+    const auto requests =
+        static_cast<double>(std::max<std::uint64_t>(Result.Requests, 1));
+    const bool isHalf = Options.Lengths == LengthSource::Drift ||
+                        Options.Burst > 1 || Options.OnlyOrganisation != -1;
+    const Duration measured =
+        isHalf ? Duration(Options.Time) / 2 : Options.Time - Options.WarmUp;
+    Result.PreemptionsPerThousand =
+        1'000 * static_cast<double>(Preemptions) / requests;
+    Result.StallMsPerRequest = msOf(Stall) / requests;
+    // A request that is still off has stalled until now.
+    for (const auto &[id, r] : Requests)
+      if (r.IsMeasured && r.WasOff && r.LastToken > Start)
+        LongestStall = std::max(LongestStall, Now - r.LastToken);
+    Result.LongestStallS = secondsOf(LongestStall);
+    Result.GapP50Ms = Gaps.quantileMs(0.5);
+    Result.GapP99Ms = Gaps.quantileMs(0.99);
+    Result.GapP999Ms = Gaps.quantileMs(0.999);
+    Result.FirstTokenP95Ms = FirstTokens.quantileMs(0.95);
+    Result.TokensPerSecond = static_cast<double>(Tokens) / secondsOf(measured);
+    double sum = 0;
+    double squares = 0;
+    for (const auto &[o, tokens] : OrganisationTokens) {
+      sum += tokens;
+      squares += tokens * tokens;
+    }
+    const auto n = static_cast<double>(OrganisationTokens.size());
+    Result.Fairness = squares == 0 ? 0 : sum * sum / (n * squares);
+    return Result;
+  }
+
+  const PolicyOptions &Options;
+  base::Random Random;
+  base::Random RouteRandom;
+  entry::Router Routing;
+  std::vector<Worker> Workers;
+  std::unordered_map<JobId, Request> Requests;
+  const Instant Start = Instant(1h);
+  Instant Now = Start;
+  Instant NextArrival{};
+  Instant NextReport{};
+  double MeanLength = 0;
+  double ArrivalsPerSecond = 0;
+  JobId LastId = 0;
+  PolicyResult Result;
+  TimeHistogram Gaps;
+  TimeHistogram FirstTokens;
+  Duration Stall{0};
+  Duration LongestStall{0};
+  std::uint64_t Preemptions = 0;
+  std::uint64_t Tokens = 0;
+  std::unordered_map<int, double> OrganisationTokens;
+};
+
+} // namespace
+
+double saturatedTokensPerSecond(const PolicyOptions &options) {
+  PolicyOptions o = options;
+  o.Policy = PolicyKind::Greedy;
+  o.Engines = 1;
+  o.Load = 1;
+  // Above what any of the shapes lets an engine produce.
+  o.Saturation = 3'000;
+  o.Seed = 4711;
+  o.Fault = PolicyFault::None;
+  o.Burst = 1;
+  o.OnlyOrganisation = -1;
+  o.Time = base::seconds(1'000);
+  o.WarmUp = base::seconds(100);
+  if (o.Lengths == LengthSource::Drift)
+    o.Lengths = LengthSource::Lernwerk;
+  return PolicyRun(o).run().TokensPerSecond;
+}
+
+PolicyResult runPolicy(const PolicyOptions &options) {
+  PolicyOptions o = options;
+  if (o.Saturation <= 0)
+    o.Saturation = saturatedTokensPerSecond(options);
+  return PolicyRun(o).run();
+}
+std::string_view toString(PolicyKind kind) {
+  switch (kind) {
+  case PolicyKind::Own:
+    return "own";
+  case PolicyKind::Greedy:
+    return "greedy";
+  case PolicyKind::Reserve:
+    return "reserve";
+  case PolicyKind::Oracle:
+    return "oracle";
+  case PolicyKind::RandomRoute:
+    return "random-route";
+  case PolicyKind::LeastLoaded:
+    return "least-loaded";
+  }
+  return "unknown";
+}
+
+std::string_view toString(LengthSource source) {
+  switch (source) {
+  case LengthSource::Lernwerk:
+    return "lernwerk";
+  case LengthSource::Pwani:
+    return "pwani";
+  case LengthSource::Mixed:
+    return "mixed";
+  case LengthSource::Drift:
+    return "drift";
+  case LengthSource::File:
+    return "file";
+  }
+  return "unknown";
+}
+
+} // namespace drumlanding::tools
