--- a/include/drumlanding/agent/core.h
+++ b/include/drumlanding/agent/core.h
@@ -179,7 +179,7 @@
                                  const wire::Request &message) const;
   void applyDocuments(base::Now now);
   void updateServerState();
-  wire::Report report() const;
+  wire::Report report(std::uint64_t knownModels) const;
   wire::Reply emptyReply() const;
   void reply(ReplyId id, wire::Reply message);
   void refuse(ReplyId id, const base::Refusal &refusal);
--- a/src/agent/call-table.cc
+++ b/src/agent/call-table.cc
@@ -133,6 +133,7 @@
   if (e.Answered) {
     record.State = CallState::Answered;
     record.Reply = e.Reply;
+    record.Reply.set_request_id(e.RequestId);
   } else {
     record.State = CallState::Failed;
     record.Failure = {e.Reached ? Verdict::MayHaveRun : Verdict::NotRun,
--- a/src/agent/core.cc
+++ b/src/agent/core.cc
@@ -249,7 +249,7 @@
   }
   applyDocuments(now);
   wire::Reply answer;
-  *answer.mutable_report() = report();
+  *answer.mutable_report() = report(message.known_models());
   reply(id, std::move(answer));
 }
 
@@ -351,12 +351,9 @@
   Calls->tick(now);
 }
 
-wire::Report Core::report() const {
+wire::Report Core::report(std::uint64_t knownModels) const {
   wire::Report report;
   const SchedulerLoad load = Generations->load();
-  report.set_server(Options.Server);
-  report.set_service(Options.Service);
-  report.set_place(Options.Place);
   report.set_running(load.Running + static_cast<std::uint32_t>(Calls->open()));
   report.set_waiting(load.Waiting);
   report.set_used_tokens(load.UsedTokens);
@@ -369,6 +366,12 @@
     for (const std::string &adapter : m.Adapters)
       report.add_models(m.Model + "@" + m.Version + "+" + adapter);
   }
+  std::uint64_t digest = 1;
+  for (const std::string &name : report.models())
+    digest = base::hash64(name, digest);
+  report.set_models_digest(digest);
+  if (digest == knownModels)
+    report.clear_models();
   return report;
 }
 
--- a/src/agent/generation-table.cc
+++ b/src/agent/generation-table.cc
@@ -197,6 +197,9 @@
   std::move(e.Tokens.begin() + known, e.Tokens.end(),
             std::back_inserter(g->Tokens));
   HasNews = true;
+  // A first token is not kept waiting for the next tick.
+  if (have == 0)
+    answerPolls(now);
   Schedule.produced(now.Steady, g->Job,
                     static_cast<std::uint32_t>(e.Tokens.size()) - known);
 }
@@ -222,8 +225,9 @@
     // Only the first try proves that nothing ran.
     g->WasSubmitted = !isFresh || Schedule.yieldsOf(g->Job) > 0;
     const Verdict verdict = g->WasSubmitted ? Verdict::Ran : Verdict::NotRun;
+    // An engine that refused to resume it still remembers it.
     fail(now, e.RequestId, *g, {verdict, Reason::EngineLost, RetryAfterLoss},
-         false);
+         g->WasSubmitted);
     return;
   }
   case EngineEnd::Lost:
--- a/src/agent/scheduler.cc
+++ b/src/agent/scheduler.cc
@@ -126,6 +126,11 @@
   Tenant &tenant = Tenants[job.Spec.Organisation];
   tenant.UsedTokens += job.tokens();
   tenant.Attained += PromptCost * job.Spec.PromptTokens / tenant.Share;
+  // A single one may be larger than the memory: nothing else could run it.
+  base::invariant(base::Invariant::MemoryWithinLimit,
+                  Options.Rule == AdmissionRule::Greedy || OnEngine == 1 ||
+                      UsedTokens <= Options.CapacityTokens,
+                  job.Spec.Organisation);
   forecast(job);
   addForecast(job, 1);
 }
--- a/src/agent/shell.cc
+++ b/src/agent/shell.cc
@@ -22,6 +22,7 @@
 /// Requests that the agent can hold at a time; each entry has one long poll.
 constexpr int ControlContexts = 256;
 constexpr milliseconds TickEvery{5};
+constexpr milliseconds IdleTickEvery{20};
 constexpr milliseconds ObserveEvery{500};
 constexpr milliseconds ObserveLimit{2'000};
 /// A backend server that misses this many looks is taken for dead.
@@ -239,9 +240,14 @@
 }
 
 asio::awaitable<void> Shell::tickLoop() {
+  bool hasWork = false;
   for (;;) {
-    co_await sleepFor(TickEvery);
+    co_await sleepFor(hasWork ? TickEvery : IdleTickEvery);
     dispatch(Tick{});
+    {
+      const std::lock_guard guard(CoreLock);
+      hasWork = TheCore->hasWork();
+    }
     if (mayFinish()) {
       base::Log("agent.drain").info("drained: stopping");
       Runtime.finish();
--- a/src/entry/core-attempts.cc
+++ b/src/entry/core-attempts.cc
@@ -2,6 +2,7 @@
 #include "drumlanding/entry/core.h"
 
 #include "drumlanding/agent/core.h"
+#include "drumlanding/base/invariant.h"
 #include "drumlanding/entry/members.h"
 #include "drumlanding/wire/request-id.h"
 #include "entry-constants.h"
@@ -232,6 +233,8 @@
     retryOrGiveUp(now, s, refusalOf(s.Incarnation, reply));
     return;
   }
+  base::invariant(base::Invariant::OwnAnswerOnly,
+                  reply.call().request_id() == s.RequestId, s.RequestId);
   Out.push_back(AnswerSession{s.Id, reply.call()});
   count("drumlanding_requests_total", "verdict", toString(Verdict::Ran));
   close(s.Id);
--- a/src/entry/core-documents.cc
+++ b/src/entry/core-documents.cc
@@ -55,9 +55,11 @@
     if (member->SyncPending || now.Steady < member->NextSync)
       continue;
     member->SyncPending = true;
-    member->NextSync = now.Steady + SyncEvery;
+    member->NextSync =
+        now.Steady + (member->isAgent() ? SyncEvery : SyncEntriesEvery);
     wire::Request request;
     request.mutable_sync()->set_listed_leaving(member->Vm.IsLeaving);
+    request.mutable_sync()->set_known_models(member->Report.models_digest());
     send(member->Vm.Name, std::move(request), {MessageKind::Sync, 0, "", ""},
          SyncLimit);
   }
@@ -113,7 +115,10 @@
     takeDocument(now, sent.Document, value(r).document().body(), sent.Peer);
   if (!value(r).has_report())
     return;
-  member->Report = value(r).report();
+  wire::Report report = value(r).report();
+  if (report.models_digest() == member->Report.models_digest())
+    *report.mutable_models() = member->Report.models();
+  member->Report = std::move(report);
   member->ReportedAt = now.Steady;
   member->SentSince = 0;
 }
@@ -129,8 +134,7 @@
     document.set_kind(m.fetch().kind());
     document.set_body(Documents.body(m.fetch().kind()));
   } else if (m.has_push() || m.has_sync()) {
-    reply.mutable_report()->set_server(Options.Name);
-    reply.mutable_report()->set_place(Options.Place);
+    reply.mutable_report();
   } else {
     wire::Refused &refused = *reply.mutable_refused();
     refused.set_verdict(static_cast<std::uint32_t>(Verdict::NotRun));
--- a/src/entry/core-streams.cc
+++ b/src/entry/core-streams.cc
@@ -40,7 +40,11 @@
   if (following.Streams.empty())
     following.LastHeard = now.Steady;
   following.Streams[s.RequestId] = s.Id;
-  following.NeedsPoll = true;
+  // Alone it asks at once; with others the next tick asks for all new ones.
+  if (following.Poll == 0)
+    poll(now, s.Server);
+  else
+    following.NeedsPoll = true;
   // A new generation begins with its first token: until then another server
   // can still be tried, and the answer can still be a plain refusal.
   if (!s.Generation)
@@ -107,6 +111,8 @@
   if (it == Follows.end())
     return;
   const bool isCurrent = it->second.Poll == id;
+  if (isCurrent)
+    it->second.Poll = 0;
   if (!ok(r)) {
     if (isCurrent)
       it->second.NextPoll = now.Steady + PollBackoff;
--- a/src/entry/entry-constants.h
+++ b/src/entry/entry-constants.h
@@ -35,7 +35,10 @@
 inline constexpr milliseconds PollBackoff{100};
 /// A stream whose agent is not heard of for this long is given up.
 inline constexpr seconds StreamLostAfter{12};
-inline constexpr milliseconds SyncEvery{500};
+/// Reports of backend servers; two missed ones make a server suspect.
+inline constexpr milliseconds SyncEvery{1'000};
+/// Documents also come from the service's watchers, so entries ask less often.
+inline constexpr milliseconds SyncEntriesEvery{2'000};
 inline constexpr milliseconds SyncLimit{1'000};
 inline constexpr milliseconds DocumentLimit{3'000};
 inline constexpr milliseconds CheckEvery{20};
--- a/src/entry/shell.cc
+++ b/src/entry/shell.cc
@@ -18,6 +18,8 @@
 
 constexpr int ControlContexts = 64;
 constexpr milliseconds TickEvery{5};
+/// With nothing open, only heartbeats are due.
+constexpr milliseconds IdleTickEvery{20};
 constexpr milliseconds ListEvery{1'000};
 constexpr milliseconds WatchWait{5'000};
 constexpr milliseconds RetryPlatform{500};
@@ -335,12 +337,13 @@
 asio::awaitable<void> Shell::tickLoop() {
   int ticks = 0;
   int idle = 0;
+  bool hasSessions = false;
   for (;;) {
-    co_await sleepFor(TickEvery);
+    const bool isBusy = hasSessions || IsLeaving;
+    co_await sleepFor(isBusy ? TickEvery : IdleTickEvery);
     dispatch(Tick{});
     if (++ticks % TicksPerMetrics == 0)
       updateMetrics();
-    bool hasSessions = false;
     {
       const std::lock_guard guard(CoreLock);
       hasSessions = TheCore->hasSessions();
--- a/support/install.sh
+++ b/support/install.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Installs what the build and the tests need, from Debian's packages.
 set -eu
-packages=(g++ cmake ninja-build ccache curl clang-format clang-tidy
+packages=(g++ cmake ninja-build ccache curl bc clang-format clang-tidy
   libboost1.81-dev libnng-dev prometheus-cpp-dev libgflags-dev libspdlog-dev
   nlohmann-json3-dev libprotobuf-dev protobuf-compiler libsodium-dev
   librapidcheck-dev libxxhash-dev libgtest-dev libbenchmark-dev)
--- a/test/mechanism-test.cc
+++ b/test/mechanism-test.cc
@@ -163,6 +163,8 @@
 double attemptsPerRequest(bool limited) {
   WorldOptions options;
   options.RefusePart = 0.3;
+  // Room for all, so that no request still waits when the test ends.
+  options.EngineCapacity = 200'000;
   options.EntryOn.LimitRetries = limited;
   World world(options);
   constexpr int Requests = 1'500;
