--- a/test/promise-test.cc
+++ b/test/promise-test.cc
@@ -2,6 +2,7 @@
 #include "drumlanding/entry/limits.h"
 #include "world.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 
 namespace drumlanding::test {
@@ -134,6 +135,43 @@
     EXPECT_EQ(world.bundleOfAgent(i), 2U);
 }
 
+/// Counts the orders to load in what a core wants done.
+std::size_t orders(const agent::Commands &commands) {
+  return static_cast<std::size_t>(std::count_if(
+      commands.begin(), commands.end(), [](const agent::Command &c) {
+        return std::holds_alternative<agent::LoadOnEngine>(c);
+      }));
+}
+
+TEST(Orders, AnOlderPlanGivesNone) {
+  const Signers keys;
+  base::ManualClock clock;
+  agent::CoreOptions options;
+  options.Server = "tutor-llm-1";
+  options.Service = "tutor-llm";
+  options.Trusted = keys.trusted();
+  agent::Core core(std::move(options));
+  const auto push = [&](wire::DocumentKind kind, const std::string &body) {
+    wire::Request request;
+    request.mutable_push()->mutable_document()->set_kind(kind);
+    request.mutable_push()->mutable_document()->set_body(body);
+    return orders(core.handle(clock.now(), agent::RequestArrived{1, request}));
+  };
+  const auto planOf = [](std::uint64_t version, const std::string &model) {
+    plan::Plan p;
+    p.Version = version;
+    p.Assignments = {{"tutor-llm-1", {{"tutor-llm", model, {}}}}};
+    return plan::serialise(p);
+  };
+  core.handle(clock.now(), agent::ServerObserved{true, 60'000, {}});
+  push(wire::BUNDLE, keys.serialised(exampleJson(1)));
+  EXPECT_EQ(push(wire::PLAN, planOf(2, "2")), 1U);
+  // A holder that was paused past its lapse would write this one.
+  EXPECT_EQ(push(wire::PLAN, planOf(1, "1")), 0U);
+  EXPECT_EQ(push(wire::PLAN, planOf(2, "1")), 0U);
+  EXPECT_EQ(core.documents().plan()->Version, 2U);
+}
+
 TEST(Limits, OneOrganisationCannotTakeAnothersPlace) {
   bundle::Organisation large{"large", "", {}};
   large.Contract.MaxOpen = 3;
