Keep peers that still report when the platform's list loses them

Cause: an empty list, as after a restart of the platform's service, made every entry forget all its agents: streams broke and requests were refused, though the agents reported all along. Found while reading Members::list as a newcomer. Change: who is not listed is forgotten after 15 s without a report.

--- /dev/null
+++ b/include/drumlanding/daemon/sleep.h
@@ -0,0 +1,15 @@
+/// Sleep: lets a coroutine wait.
+///
+///   co_await sleepFor(std::chrono::milliseconds(5));
+#pragma once
+
+#include "drumlanding/base/clock.h"
+
+#include <boost/asio/awaitable.hpp>
+
+namespace drumlanding::daemon {
+
+/// Waits on the coroutine's own executor.
+boost::asio::awaitable<void> sleepFor(base::Duration time);
+
+} // namespace drumlanding::daemon
--- a/include/drumlanding/entry/core.h
+++ b/include/drumlanding/entry/core.h
@@ -296,6 +296,7 @@
   void giveUp(base::Now now, Session &s, base::Refusal why);
   void close(SessionId id);
 
+  void onLostReply(base::Now now, Session &s);
   void onStartReply(base::Now now, Session &s,
                     const base::Result<wire::Reply> &r);
   void onCallReply(base::Now now, Session &s,
--- a/src/agent/call-table.cc
+++ b/src/agent/call-table.cc
@@ -2,6 +2,7 @@
 
 #include "drumlanding/base/hash.h"
 #include "drumlanding/base/invariant.h"
+#include "drumlanding/wire/refusal.h"
 
 namespace drumlanding::agent {
 namespace {
@@ -32,13 +33,7 @@
     : Options(options), Out(out) {}
 
 void CallTable::refuse(ReplyId reply, const Refusal &refusal) {
-  wire::Reply message;
-  wire::Refused &refused = *message.mutable_refused();
-  refused.set_verdict(static_cast<std::uint32_t>(refusal.Outcome));
-  refused.set_reason(static_cast<std::uint32_t>(refusal.Why));
-  refused.set_retry_after_ms(
-      static_cast<std::uint32_t>(refusal.RetryAfter.count()));
-  Out.push_back(SendReply{reply, std::move(message)});
+  Out.push_back(SendReply{reply, wire::refusedReply(refusal)});
 }
 
 void CallTable::answer(ReplyId reply, const Record &record) {
--- a/src/agent/core.cc
+++ b/src/agent/core.cc
@@ -3,6 +3,7 @@
 #include "call-table.h"
 #include "drumlanding/base/hash.h"
 #include "drumlanding/base/invariant.h"
+#include "drumlanding/wire/refusal.h"
 #include "generation-table.h"
 
 #include <algorithm>
@@ -96,13 +97,7 @@
 }
 
 void Core::refuse(ReplyId id, const Refusal &refusal) {
-  wire::Reply message;
-  wire::Refused &refused = *message.mutable_refused();
-  refused.set_verdict(static_cast<std::uint32_t>(refusal.Outcome));
-  refused.set_reason(static_cast<std::uint32_t>(refusal.Why));
-  refused.set_retry_after_ms(
-      static_cast<std::uint32_t>(refusal.RetryAfter.count()));
-  reply(id, std::move(message));
+  reply(id, wire::refusedReply(refusal));
 }
 
 void Core::on(base::Now now, RequestArrived &e) {
--- a/src/agent/generation-table.cc
+++ b/src/agent/generation-table.cc
@@ -1,6 +1,7 @@
 #include "generation-table.h"
 
 #include "drumlanding/base/invariant.h"
+#include "drumlanding/wire/refusal.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -41,14 +42,7 @@
 }
 
 void GenerationTable::refuse(ReplyId id, const Refusal &refusal) {
-  wire::Reply message;
-  message.mutable_refused()->set_verdict(
-      static_cast<std::uint32_t>(refusal.Outcome));
-  message.mutable_refused()->set_reason(
-      static_cast<std::uint32_t>(refusal.Why));
-  message.mutable_refused()->set_retry_after_ms(
-      static_cast<std::uint32_t>(refusal.RetryAfter.count()));
-  reply(id, std::move(message));
+  reply(id, wire::refusedReply(refusal));
 }
 
 void GenerationTable::note(const std::string &sentence) const {
@@ -304,10 +298,8 @@
     }
     wire::StreamPart &part = *out.add_parts();
     part.set_request_id(cursor.request_id());
-    part.mutable_failure()->set_verdict(
-        static_cast<std::uint32_t>(Verdict::MayHaveRun));
-    part.mutable_failure()->set_reason(
-        static_cast<std::uint32_t>(Reason::BackendServerLost));
+    *part.mutable_failure() =
+        wire::toWire({Verdict::MayHaveRun, Reason::BackendServerLost, {}});
   }
   return out;
 }
@@ -330,11 +322,7 @@
     part.set_finished(true);
     return;
   }
-  part.mutable_failure()->set_verdict(
-      static_cast<std::uint32_t>(g.Failure.Outcome));
-  part.mutable_failure()->set_reason(static_cast<std::uint32_t>(g.Failure.Why));
-  part.mutable_failure()->set_retry_after_ms(
-      static_cast<std::uint32_t>(g.Failure.RetryAfter.count()));
+  *part.mutable_failure() = wire::toWire(g.Failure);
 }
 
 void GenerationTable::answerPolls(base::Now now) {
--- a/src/agent/shell.cc
+++ b/src/agent/shell.cc
@@ -1,6 +1,7 @@
 #include "shell.h"
 
 #include "drumlanding/base/hash.h"
+#include "drumlanding/daemon/sleep.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -17,6 +18,7 @@
 
 using base::milliseconds;
 using base::Result;
+using daemon::sleepFor;
 using Json = nlohmann::json;
 
 /// Requests that the agent can hold at a time; each entry has one long poll.
@@ -35,13 +37,6 @@
 /// After the last answer, entries get this long to fetch it.
 constexpr milliseconds LingerAfterDrain{1'500};
 
-asio::awaitable<void> sleepFor(milliseconds time) {
-  asio::steady_timer timer(co_await asio::this_coro::executor);
-  timer.expires_after(time);
-  boost::system::error_code ec;
-  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-}
-
 std::string requestBody(const StartOnEngine &c) {
   return Json{{"id", c.RequestId},
               {"model", c.Start.model()},
--- /dev/null
+++ b/src/daemon/sleep.cc
@@ -0,0 +1,19 @@
+#include "drumlanding/daemon/sleep.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace drumlanding::daemon {
+
+namespace asio = boost::asio;
+
+asio::awaitable<void> sleepFor(base::Duration time) {
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  timer.expires_after(time);
+  boost::system::error_code ec;
+  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+}
+
+} // namespace drumlanding::daemon
--- a/src/entry/core-attempts.cc
+++ b/src/entry/core-attempts.cc
@@ -4,6 +4,7 @@
 #include "drumlanding/agent/core.h"
 #include "drumlanding/base/invariant.h"
 #include "drumlanding/entry/members.h"
+#include "drumlanding/wire/refusal.h"
 #include "drumlanding/wire/request-id.h"
 #include "entry-constants.h"
 
@@ -56,7 +57,7 @@
 Refusal refusalOf(std::uint64_t meant, const wire::Reply &reply) {
   if (!reply.has_refused())
     return lost();
-  Refusal why = refusalFrom(reply.refused());
+  Refusal why = wire::fromWire(reply.refused());
   if (why.Outcome == Verdict::NotRun && reply.incarnation() != meant)
     return {Verdict::MayHaveRun, Reason::OtherIncarnation, RetryBusy};
   return why;
@@ -203,13 +204,17 @@
     s.Asks = MostAsks;
 }
 
+void Core::onLostReply(base::Now now, Session &s) {
+  if (Options.On.AskAfterLostReplies)
+    sendRevoke(now, s);
+  else
+    retryOrGiveUp(now, s, {Verdict::NotRun, Reason::AnswerLost, RetryBusy});
+}
+
 void Core::onStartReply(base::Now now, Session &s,
                         const Result<wire::Reply> &r) {
   if (!ok(r)) {
-    if (Options.On.AskAfterLostReplies)
-      sendRevoke(now, s);
-    else
-      retryOrGiveUp(now, s, {Verdict::NotRun, Reason::AnswerLost, RetryBusy});
+    onLostReply(now, s);
     return;
   }
   const wire::Reply &reply = value(r);
@@ -222,10 +227,7 @@
 void Core::onCallReply(base::Now now, Session &s,
                        const Result<wire::Reply> &r) {
   if (!ok(r)) {
-    if (Options.On.AskAfterLostReplies)
-      sendRevoke(now, s);
-    else
-      retryOrGiveUp(now, s, {Verdict::NotRun, Reason::AnswerLost, RetryBusy});
+    onLostReply(now, s);
     return;
   }
   const wire::Reply &reply = value(r);
@@ -310,7 +312,7 @@
     return;
   }
   if (ok(r) && value(r).has_refused()) {
-    giveUp(now, s, refusalFrom(value(r).refused()));
+    giveUp(now, s, wire::fromWire(value(r).refused()));
     return;
   }
   // The stream itself goes on; the caller may come back for it.
@@ -327,7 +329,7 @@
     return;
   }
   if (ok(r) && value(r).has_refused()) {
-    giveUp(now, s, refusalFrom(value(r).refused()));
+    giveUp(now, s, wire::fromWire(value(r).refused()));
     return;
   }
   giveUp(now, s, {Verdict::MayHaveRun, Reason::AnswerLost, RetryBusy});
--- a/src/entry/core-documents.cc
+++ b/src/entry/core-documents.cc
@@ -3,6 +3,7 @@
 #include "drumlanding/entry/core.h"
 
 #include "drumlanding/entry/members.h"
+#include "drumlanding/wire/refusal.h"
 #include "entry-constants.h"
 
 #include <fmt/format.h>
@@ -147,9 +148,8 @@
   } else if (m.has_push() || m.has_sync()) {
     reply.mutable_report();
   } else {
-    wire::Refused &refused = *reply.mutable_refused();
-    refused.set_verdict(static_cast<std::uint32_t>(Verdict::NotRun));
-    refused.set_reason(static_cast<std::uint32_t>(Reason::MalformedRequest));
+    *reply.mutable_refused() =
+        wire::toWire({Verdict::NotRun, Reason::MalformedRequest, {}});
   }
   *reply.mutable_versions() = Documents.versions();
   Out.push_back(ReplyToPeer{e.Reply, std::move(reply)});
--- a/src/entry/core-streams.cc
+++ b/src/entry/core-streams.cc
@@ -3,6 +3,7 @@
 
 #include "drumlanding/base/invariant.h"
 #include "drumlanding/entry/members.h"
+#include "drumlanding/wire/refusal.h"
 #include "entry-constants.h"
 
 #include <fmt/format.h>
@@ -160,7 +161,7 @@
   }
   const bool hasAll = part.first_index() + size >= s.NextIndex;
   if (part.has_failure()) {
-    const Refusal why = refusalFrom(part.failure());
+    const Refusal why = wire::fromWire(part.failure());
     if (s.Generation && s.NextIndex == 0)
       retryOrGiveUp(now, s, why);
     else
--- a/src/entry/entry-constants.h
+++ b/src/entry/entry-constants.h
@@ -50,9 +50,4 @@
   return static_cast<std::uint32_t>(prompt.size() / 4 + 1);
 }
 
-inline base::Refusal refusalFrom(const wire::Refused &r) {
-  return {base::verdictFrom(r.verdict()), base::reasonFrom(r.reason()),
-          milliseconds(r.retry_after_ms())};
-}
-
 } // namespace drumlanding::entry
--- a/src/entry/members.cc
+++ b/src/entry/members.cc
@@ -8,6 +8,8 @@
 
 /// Other entries that an entry exchanges documents with.
 constexpr std::size_t EntryPeers = 8;
+/// A peer that the list no longer names is forgotten after this silence.
+constexpr base::seconds ForgetAfter{15};
 
 } // namespace
 
@@ -40,8 +42,10 @@
     member.Vm = vm;
   }
   std::vector<std::string> gone;
+  // The list lags and can be empty after a restart of the platform: who still
+  // reports is there.
   for (const auto &[name, member] : All)
-    if (!listed.contains(name))
+    if (!listed.contains(name) && now - member.ReportedAt > ForgetAfter)
       gone.push_back(name);
   for (const std::string &name : gone)
     All.erase(name);
--- a/src/entry/plan-keeper.cc
+++ b/src/entry/plan-keeper.cc
@@ -2,6 +2,7 @@
 
 #include "drumlanding/base/hash.h"
 #include "drumlanding/base/log.h"
+#include "drumlanding/daemon/sleep.h"
 
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
@@ -13,6 +14,7 @@
 namespace {
 
 namespace asio = platform::asio;
+using daemon::sleepFor;
 
 constexpr base::milliseconds LeaseTime{5'000};
 constexpr base::milliseconds Round{1'000};
@@ -21,13 +23,6 @@
 
 const base::Log PlanLog("entry.plan");
 
-asio::awaitable<void> sleepFor(base::milliseconds time) {
-  asio::steady_timer timer(co_await asio::this_coro::executor);
-  timer.expires_after(time);
-  boost::system::error_code ec;
-  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-}
-
 } // namespace
 
 bool reportsAll(const wire::Report &report, const plan::Assignment &assigned) {
--- a/src/entry/shell.cc
+++ b/src/entry/shell.cc
@@ -1,6 +1,7 @@
 #include "shell.h"
 
 #include "drumlanding/base/hash.h"
+#include "drumlanding/daemon/sleep.h"
 
 #include <algorithm>
 #include <boost/asio/co_spawn.hpp>
@@ -15,6 +16,7 @@
 using base::Refusal;
 using base::Result;
 using base::Verdict;
+using daemon::sleepFor;
 
 constexpr int ControlContexts = 64;
 constexpr milliseconds TickEvery{5};
@@ -31,13 +33,6 @@
 constexpr int TicksAfterLast = 100;
 constexpr std::size_t LargestBody = 4 << 20;
 
-asio::awaitable<void> sleepFor(milliseconds time) {
-  asio::steady_timer timer(co_await asio::this_coro::executor);
-  timer.expires_after(time);
-  boost::system::error_code ec;
-  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-}
-
 /// Returns whether a session's last word is among the commands.
 bool isLast(const Command &command) {
   return std::holds_alternative<EndStream>(command) ||
--- a/test/promise-test.cc
+++ b/test/promise-test.cc
@@ -143,6 +143,20 @@
       }));
 }
 
+TEST(Members, AnEmptyListIsNotBelievedAgainstDirectReports) {
+  World world({});
+  world.askGeneration(0);
+  world.run(100ms);
+  world.emptyList();
+  world.askGeneration(0);
+  world.askGeneration(1);
+  world.run(60s);
+  world.askGeneration(0);
+  world.settle();
+  EXPECT_EQ(world.check(), "");
+  EXPECT_EQ(world.wholeAnswers(), world.requests());
+}
+
 TEST(Orders, AnOlderPlanGivesNone) {
   const Signers keys;
   base::ManualClock clock;
--- a/test/world.cc
+++ b/test/world.cc
@@ -269,6 +269,11 @@
       toEntry(i, EntryNodes[i]->Life, entry::VmsListed{vms});
 }
 
+void World::emptyList() {
+  for (std::size_t i = 0; i < EntryNodes.size(); ++i)
+    toEntry(i, EntryNodes[i]->Life, entry::VmsListed{});
+}
+
 void World::readBundle(std::size_t i, std::uint64_t life) {
   if (EntryNodes[i]->Life != life)
     return;
--- a/test/world.h
+++ b/test/world.h
@@ -139,6 +139,8 @@
   void replaceAgent(std::size_t agent);
   /// Tells an agent to stop, which the entries do not know yet.
   void orderLeave(std::size_t agent);
+  /// The platform's list is empty, as after a restart of the platform.
+  void emptyList();
   /// From now on engines never end by themselves before maxTokens.
   void endless(bool on) { IsEndless = on; }
   /// Starts of new work on the engine of an agent so far.
--- a/tools/stand-in.h
+++ b/tools/stand-in.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "drumlanding/base/settings.h"
+#include "drumlanding/daemon/sleep.h"
 #include "drumlanding/http/http.h"
 
 #include <boost/asio/io_context.hpp>
@@ -20,6 +21,7 @@
 namespace drumlanding::tools {
 
 namespace asio = boost::asio;
+using daemon::sleepFor;
 using Json = nlohmann::json;
 
 inline http::Response jsonResponse(int status, const Json &json) {
@@ -40,13 +42,6 @@
   return n;
 }
 
-inline asio::awaitable<void> sleepFor(base::Duration time) {
-  asio::steady_timer timer(co_await asio::this_coro::executor);
-  timer.expires_after(time);
-  boost::system::error_code ec;
-  co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ec));
-}
-
 /// Reads a stand-in's flags or exits with 2.
 inline void readStandInFlags(int argc, char **argv, std::string_view synopsis,
                              std::span<const std::string_view> flags) {
