Measure first tokens, gaps and stalls at the entry; a place stops, a rack returns

The users' measures had names in the list of metrics but no figures: the entry now observes them. The operators' page names every log line and metric, and a test holds both together with the sources.

--- a/include/drumlanding/entry/core.h
+++ b/include/drumlanding/entry/core.h
@@ -180,6 +180,8 @@
   std::function<void(std::string_view metric, std::string_view label,
                      std::string_view value, double by)>
       Count;
+  /// Notes a time for a histogram.
+  std::function<void(std::string_view metric, base::Duration time)> Observe;
 };
 
 class Members;
@@ -228,6 +230,8 @@
     bool MayHaveRun = false;
     bool Begun = false;
     std::uint32_t NextIndex = 0;
+    base::Instant AskedAt{};
+    base::Instant LastToken{};
     base::Instant Deadline{};
     base::Instant RetryAt{};
   };
@@ -292,6 +296,7 @@
   bool takeOver(base::Now now, Session &s);
   void follow(base::Now now, Session &s);
   void begin(Session &s);
+  void measureGap(base::Now now, Session &s);
   void unfollow(Session &s);
   void giveUp(base::Now now, Session &s, base::Refusal why);
   void close(SessionId id);
--- a/src/base/metrics.cc
+++ b/src/base/metrics.cc
@@ -27,7 +27,6 @@
     {"drumlanding_attempts_total", "Attempts sent to agents."},
     {"drumlanding_tokens_total", "Tokens passed on."},
     {"drumlanding_control_bytes", "Bytes of control messages, by direction."},
-    {"drumlanding_control_messages_total", "Control messages, by kind."},
     {"drumlanding_rejected_messages",
      "Messages from peers without the shared key, or malformed."},
     {"drumlanding_invariant_failures", "Failures, by invariant."},
@@ -42,6 +41,8 @@
     {"drumlanding_first_token_seconds", "Time to first token."},
     {"drumlanding_token_gap_seconds", "Time between tokens."},
     {"drumlanding_platform_calls_total", "Calls of the platform's service."},
+    {"drumlanding_stall_seconds_total",
+     "Time of gaps between tokens that were longer than a second."},
     {"process_resident_memory_bytes", "Resident memory."},
     {"process_cpu_seconds_total", "Processor time, user and system."},
 };
--- a/src/entry/core-streams.cc
+++ b/src/entry/core-streams.cc
@@ -67,6 +67,23 @@
     it->second.Streams.erase(stream);
 }
 
+/// Measures what the caller waited for these tokens.
+void Core::measureGap(base::Now now, Session &s) {
+  const bool isFirst = s.LastToken == base::Instant{};
+  const base::Duration gap = now.Steady - (isFirst ? s.AskedAt : s.LastToken);
+  s.LastToken = now.Steady;
+  // A resumed stream's first token here is not the first of the answer.
+  if (isFirst && !s.Generation)
+    return;
+  if (Options.Observe)
+    Options.Observe(isFirst ? "drumlanding_first_token_seconds"
+                            : "drumlanding_token_gap_seconds",
+                    gap);
+  if (!isFirst && gap > StallAfter)
+    count("drumlanding_stall_seconds_total", {}, {},
+          std::chrono::duration<double>(gap).count());
+}
+
 void Core::poll(base::Now now, const std::string &server) {
   Following &following = Follows.at(server);
   following.NeedsPoll = false;
@@ -154,6 +171,7 @@
     const std::uint32_t first = part.first_index() + known;
     invariant(Invariant::TokensInOrder, first == s.NextIndex, s.RequestId);
     begin(s);
+    measureGap(now, s);
     Out.push_back(DeliverTokens{
         s.Id, first, {part.tokens().begin() + known, part.tokens().end()}});
     count("drumlanding_tokens_total", {}, {}, size - known);
--- a/src/entry/core.cc
+++ b/src/entry/core.cc
@@ -89,6 +89,7 @@
   Session &s = Sessions[id];
   s.Id = id;
   s.Organisation = o.Name;
+  s.AskedAt = now.Steady;
   s.Deadline = now.Steady + StartLimit;
   return &s;
 }
--- a/src/entry/entry-constants.h
+++ b/src/entry/entry-constants.h
@@ -39,6 +39,8 @@
 inline constexpr milliseconds SyncEvery{1'000};
 /// Documents also come from the service's watchers, so entries ask less often.
 inline constexpr milliseconds SyncEntriesEvery{2'000};
+/// A longer gap between tokens counts as a stall.
+inline constexpr milliseconds StallAfter{1'000};
 inline constexpr milliseconds SyncLimit{1'000};
 inline constexpr milliseconds DocumentLimit{3'000};
 inline constexpr milliseconds CheckEvery{20};
--- a/src/entry/shell.cc
+++ b/src/entry/shell.cc
@@ -91,6 +91,9 @@
       labels.emplace(label, value);
     s.Metrics.count(metric, labels, by);
   };
+  options.Observe = [&s](std::string_view metric, base::Duration time) {
+    s.Metrics.observe(metric, std::chrono::duration<double>(time).count());
+  };
   s.TheCore = std::make_unique<Core>(std::move(options));
   auto control = wire::Server::listen(
       s.Settings.Daemon.ControlListen, s.Settings.Daemon.Key, ControlContexts,
--- a/support/process-test.sh
+++ b/support/process-test.sh
@@ -4,8 +4,8 @@
 #   process-test.sh SCENARIO
 #
 # Scenarios: kill-entry, kill-agent, kill-engine, freeze-agent, freeze-platform,
-# drain, planned-stop, races, lost-answer, frozen-keeper, hostile, settings,
-# organisations, resume
+# drain, planned-stop, stop-place, rack-returns, races, lost-answer,
+# frozen-keeper, hostile, organisations, settings
 set -u
 ROOT=$(cd "$(dirname "$0")/.." && pwd)
 BUILD=${BUILD:-$ROOT/build}
@@ -49,7 +49,7 @@
 }
 
 assert_no_invariant_failed() {
-  ! grep -h "invariant failed" "$WORK"/*.log || fail "an invariant failed"
+  ! grep -hs "invariant failed" "$WORK"/*.log || fail "an invariant failed"
 }
 
 ask() { # ENTRY CREDENTIAL BODY CURL-FLAGS...
@@ -156,6 +156,37 @@
   [ "$(figure broken)" = 0 ] || fail "a stream was cut off"
   [ "$(figure unanswered)" = 0 ] || fail "a caller got no answer"
   ;;
+stop-place)
+  # All of one place is stopped at once: its entry, an engine's agent and a
+  # plain service's agent. What they have in flight ends whole.
+  up 3 3 3
+  run_load --entries "${ENTRIES[0]}" --rate 15 --seconds 3 --max_tokens 400 \
+    --call_part 0 --drop_part 0 --progress=false >"$WORK/place.out" 2>&1 &
+  place=$!
+  start_load --entries "${ENTRIES[1]},${ENTRIES[2]}" --seconds 12 --call_part 0
+  sleep 4
+  kill -TERM "${PID_OF[entry-1]}" "${PID_OF[tutor-llm-1]}" "${PID_OF[lernapp-1]}"
+  wait "$place" || fail "load of the place found violations"
+  cat "$WORK/place.out"
+  grep -q " broken=0 unanswered=0 " "$WORK/place.out" || fail "a stream was cut off"
+  for name in entry-1 tutor-llm-1 lernapp-1; do
+    wait "${PID_OF[$name]}" || fail "$name did not stop well"
+  done
+  finish_load 150
+  [ "$(figure broken)" = 0 ] || fail "a stream was cut off"
+  [ "$(figure unanswered)" = 0 ] || fail "a caller got no answer"
+  ;;
+rack-returns)
+  # Half of the agents freeze together and come back together.
+  up 2 4 2
+  start_load --seconds 14 --call_part 0
+  sleep 3
+  kill -STOP "${PID_OF[tutor-llm-1]}" "${PID_OF[tutor-llm-3]}"
+  sleep 5
+  kill -CONT "${PID_OF[tutor-llm-1]}" "${PID_OF[tutor-llm-3]}"
+  finish_load 250
+  [ "$(figure broken)" = 0 ] || fail "a stalled stream was given up"
+  ;;
 races)
   # Two operators roll different bundles out at the same moment.
   up 2 2 2
@@ -276,6 +307,16 @@
   expect_two "bad key" env DRUMLANDING_CONTROL_KEY=zz \
     "$BUILD/drumlanding-entry" --name e --place p --failure_domain d \
     --control_listen 127.0.0.1:1
+  # It also names every part of the logs and every metric.
+  for word in $(grep -rhoE '"(entry|agent)\.[a-z]+"' "$ROOT/src" | tr -d '"' | sort -u) \
+    $(sed -n 's/^    {"\([a-z_]*\)",.*/\1/p' "$ROOT/src/base/metrics.cc"); do
+    grep -q "\`$word" "$ROOT/docs/OPERATORS.md" || fail "docs/OPERATORS.md lacks $word"
+  done
+  # The examples are valid bundles.
+  for example in lernwerk pwani; do
+    "$BUILD/drumlandingctl" bundle check "$ROOT/examples/$example/bundle.json" ||
+      fail "examples/$example"
+  done
   # The operators' page lists every flag with its default.
   for program in drumlanding-entry drumlanding-agent drumlandingctl; do
     "$BUILD/$program" --help | sed -n 's/^  --\([a-z_]*\) (\([a-z0-9]*\), default \(.*\), DRUML.*/\1 \3/p' |
--- a/test/world.cc
+++ b/test/world.cc
@@ -350,6 +350,41 @@
   return PlannedFault;
 }
 
+/// Stops a process for a while; what it was sent waits, as in its sockets.
+template <typename Node> void World::freeze(Node &node) {
+  node.IsFrozen = true;
+  at(FreezeTime, [&node, life = node.Life] {
+    if (node.Life != life)
+      return;
+    node.IsFrozen = false;
+    for (auto &action : std::exchange(node.Backlog, {}))
+      action();
+  });
+}
+
+/// Its connections break: callers come back elsewhere.
+void World::killEntry(std::size_t e) {
+  EntryNodes[e]->IsAlive = false;
+  for (auto &caller : Callers) {
+    if (caller->IsOver || caller->Entry != e)
+      continue;
+    CallerOfSession.erase(caller->Session);
+    at(ResumeTime, [this, c = caller.get()] { resume(*c); });
+  }
+  at(RestartTime, [this, e] { startEntry(e); });
+}
+
+/// The VM vanishes a second after it was told; another takes its place under
+/// the same name.
+void World::reclaim(std::size_t a) {
+  toAgent(a, AgentNodes[a]->Life, agent::LeaveOrdered{Clock.now().Steady + 1s});
+  at(1s, [this, a] {
+    killEngine(a);
+    AgentNodes[a]->IsAlive = false;
+  });
+  at(3s, [this, a] { startAgent(a); });
+}
+
 void World::inject(Fault fault, std::size_t e, std::size_t a) {
   EntryNode &entryNode = *EntryNodes[e];
   AgentNode &agentNode = *AgentNodes[a];
@@ -360,14 +395,7 @@
     return;
   switch (fault) {
   case Fault::KillEntry:
-    entryNode.IsAlive = false;
-    // Its connections break: callers come back elsewhere.
-    for (auto &caller : Callers)
-      if (!caller->IsOver && caller->Entry == e) {
-        CallerOfSession.erase(caller->Session);
-        at(ResumeTime, [this, c = caller.get()] { resume(*c); });
-      }
-    at(RestartTime, [this, e] { startEntry(e); });
+    killEntry(e);
     return;
   case Fault::RestartAgent:
     agentNode.IsAlive = false;
@@ -377,26 +405,10 @@
     killEngine(a);
     return;
   case Fault::FreezeEntry:
-    entryNode.IsFrozen = true;
-    at(FreezeTime, [this, e, life = entryNode.Life] {
-      EntryNode &node = *EntryNodes[e];
-      if (node.Life != life)
-        return;
-      node.IsFrozen = false;
-      for (auto &action : std::exchange(node.Backlog, {}))
-        action();
-    });
+    freeze(entryNode);
     return;
   case Fault::FreezeAgent:
-    agentNode.IsFrozen = true;
-    at(FreezeTime, [this, a, life = agentNode.Life] {
-      AgentNode &node = *AgentNodes[a];
-      if (node.Life != life)
-        return;
-      node.IsFrozen = false;
-      for (auto &action : std::exchange(node.Backlog, {}))
-        action();
-    });
+    freeze(agentNode);
     return;
   case Fault::CutToAgent:
     agentNode.CutToAgent.insert(e);
@@ -414,13 +426,7 @@
     leaveAgent(a);
     return;
   case Fault::Reclaim:
-    toAgent(a, agentNode.Life, agent::LeaveOrdered{Clock.now().Steady + 1s});
-    at(1s, [this, a] {
-      killEngine(a);
-      AgentNodes[a]->IsAlive = false;
-    });
-    // Another VM takes its place under the same name.
-    at(3s, [this, a] { startAgent(a); });
+    reclaim(a);
     return;
   case Fault::Lose:
   case Fault::Delay:
--- a/test/world.h
+++ b/test/world.h
@@ -185,6 +185,9 @@
                   std::uint64_t generation);
   void callService(std::size_t agent, const agent::CallService &c);
   void killEngine(std::size_t agent);
+  void killEntry(std::size_t entry);
+  void reclaim(std::size_t agent);
+  template <typename Node> void freeze(Node &node);
 
   void sendCaller(Caller &caller, std::size_t entry);
   void resume(Caller &caller);
