--- a/support/demo.sh
+++ b/support/demo.sh
@@ -37,6 +37,8 @@
   -d "{\"model\":\"$MODEL\",\"prompt\":\"How do I halve 3/4?\",\"maxTokens\":24}" |
   sed -un 's/^data: "\([a-z]*\)\..*/\1/p' | tr '\n' ' '
 echo
+# An agent that has just started cannot know which keys ran before it.
+sleep 6
 echo "demo: load for ${SECONDS_OF_LOAD:-5} s"
 result=$(run_load --rate 30 --seconds "${SECONDS_OF_LOAD:-5}" --max_tokens 100)
 code=$?
