--- a/src/entry/shell.cc
+++ b/src/entry/shell.cc
@@ -401,6 +401,9 @@
       input.IsSettled =
           input.IsSettled && reportsAll(member->Report, *assigned);
   }
+  // A list that names no agent is a list that is not there yet.
+  if (input.Servers.empty())
+    return std::nullopt;
   return input;
 }
 
