--- a/include/drumlanding/base/settings.h
+++ b/include/drumlanding/base/settings.h
@@ -4,7 +4,9 @@
 ///   Result<Done> r = readSettings(argc, argv, "drumlanding-entry");
 ///
 /// A description starts with its group in brackets. `--place` can be given as
-/// DRUMLANDING_PLACE; the command line goes before the environment.
+/// DRUMLANDING_PLACE; the command line goes before the environment, and that
+/// before the file named by --node_file (one --flag=value a line), which a
+/// program reads if it allows that flag.
 #pragma once
 
 #include "drumlanding/base/result.h"
--- a/include/drumlanding/daemon/daemon.h
+++ b/include/drumlanding/daemon/daemon.h
@@ -25,7 +25,21 @@
 
 namespace asio = boost::asio;
 
-/// The settings that all daemons have.
+/// The settings that all processes have.
+struct ProcessSettings {
+  std::string Name;
+  std::string Place;
+  std::string FailureDomain;
+  int WorkerThreads = 2;
+};
+
+/// Reads and checks the flags of every process and `extra`, and sets up the
+/// logs.
+base::Result<ProcessSettings>
+readProcessSettings(int argc, char **argv, std::string_view synopsis,
+                    std::span<const std::string_view> extra);
+
+/// The settings of the daemons that speak to agents.
 struct DaemonSettings {
   std::string Name;
   std::string Place;
--- /dev/null
+++ b/include/drumlanding/gateway/attempt-policy.h
@@ -0,0 +1,66 @@
+/// Attempt policy: what follows when an attempt at a backend server has ended.
+///
+///   Step s = nextStep({AttemptEnd::Broken, RequestKind::Idempotent, ...});
+///
+/// Another server is tried only after proof that nothing ran, or when the
+/// request may run more than once.
+#pragma once
+
+#include "drumlanding/gateway/config.h"
+
+namespace drumlanding::gateway {
+
+/// How one attempt ended.
+enum class AttemptEnd {
+  Served,      ///< A whole answer that is no failure.
+  Failed,      ///< A whole answer that is the server's own failure: it ran.
+  NotRun,      ///< The server says that it did not run the request.
+  Broken,      ///< It was sent, and no whole answer came.
+  Unreachable, ///< Nothing was sent.
+};
+
+enum class Step {
+  Deliver,    ///< Pass the answer on.
+  TryAnother, ///< Send it to another server.
+  RefuseNotRun,
+  GiveUpMayHaveRun,
+};
+
+struct AttemptState {
+  AttemptEnd End = AttemptEnd::Broken;
+  RequestKind Kind = RequestKind::NonIdempotent;
+  /// Servers that the request was sent to, and the most that it may be.
+  int Sends = 0;
+  int MaxSends = 1;
+  /// An earlier attempt may have run.
+  bool MayHaveRun = false;
+  /// Enough time is left for another attempt.
+  bool HasTime = true;
+  /// Another server is there to try.
+  bool HasServer = true;
+};
+
+/// Returns what to do; `takeRetry` is asked only when a second send would
+/// follow, and takes it from the budget.
+template <typename TakeRetry>
+Step nextStep(const AttemptState &s, TakeRetry takeRetry) {
+  if (s.End == AttemptEnd::Served)
+    return Step::Deliver;
+  const bool canRun = s.Kind == RequestKind::Idempotent ||
+                      s.End == AttemptEnd::NotRun ||
+                      s.End == AttemptEnd::Unreachable;
+  const bool isPossible = canRun && s.HasTime && s.HasServer;
+  if (isPossible && s.Sends == 0)
+    return Step::TryAnother;
+  if (isPossible && s.Sends < s.MaxSends && takeRetry())
+    return Step::TryAnother;
+  if (s.End == AttemptEnd::Failed)
+    return Step::Deliver;
+  const bool isProven =
+      s.End == AttemptEnd::NotRun || s.End == AttemptEnd::Unreachable;
+  if (isProven && !s.MayHaveRun)
+    return Step::RefuseNotRun;
+  return Step::GiveUpMayHaveRun;
+}
+
+} // namespace drumlanding::gateway
--- /dev/null
+++ b/include/drumlanding/gateway/dialect.h
@@ -0,0 +1,128 @@
+/// Dialect: how callers and backend servers say what the gateway means. The
+/// gateway knows no header, path or field of theirs: hooks translate.
+///
+///   Dialect dialect = platform::makeDialect();
+///   CallerRequest r = dialect.ReadRequest(std::move(request));
+///   http::Request out = dialect.ToServer(r, order);
+#pragma once
+
+#include "drumlanding/base/result.h"
+#include "drumlanding/gateway/config.h"
+#include "drumlanding/http/connection.h"
+#include "drumlanding/http/http.h"
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace drumlanding::gateway {
+
+/// A caller's request as the gateway understands it.
+struct CallerRequest {
+  /// As sent, less what only concerns the caller's connection, the key, and
+  /// what only the gateway may say to a server.
+  http::Request Http;
+  /// Names this attempt of the caller; empty when it is missing.
+  std::string AttemptId;
+  std::string Host;
+  std::string Key;
+  /// How long the caller will wait.
+  std::optional<base::milliseconds> Patience;
+  /// Generations: the prompt's tokens, the most and the expected output.
+  std::uint32_t PromptTokens = 0;
+  std::uint32_t MostTokens = 0;
+  std::uint32_t ExpectedTokens = 0;
+};
+
+/// A copy of a running generation's memory, and where the stream goes on.
+struct Continuation {
+  /// The server that made the copy, or holds it, and the copy's name there.
+  base::Endpoint At;
+  std::string Handle;
+  std::int64_t LastEventId = 0;
+};
+
+/// What the gateway tells a server beside the caller's request.
+struct ServerOrder {
+  /// The server's id; another server at its address must not run the request.
+  std::string ServerId;
+  std::optional<base::milliseconds> TimeLeft;
+  std::string Organisation;
+  /// 0 is the most urgent, 9 the least.
+  std::optional<int> Priority;
+  std::optional<Continuation> From;
+  /// Another server that keeps a copy of the generation's memory as it grows.
+  std::optional<base::Endpoint> Backup;
+};
+
+/// What a server's answer says.
+struct ServerAnswer {
+  int Status = 0;
+  /// False when it answers another request.
+  bool IsOwn = false;
+  /// The server vouches for it.
+  bool IsStamped = false;
+  /// The server says that the request did not run.
+  bool HasNotRun = false;
+  /// Another server answers at this address.
+  bool IsOtherServer = false;
+  /// The server closes its connections: it may be leaving.
+  bool ClosesConnection = false;
+  /// The headers to pass on.
+  std::vector<http::Header> Headers;
+};
+
+/// A server's report of its own state.
+struct ServerReport {
+  bool IsLeaving = false;
+  std::optional<base::milliseconds> LeavesIn;
+  int Running = 0;
+  int Waiting = 0;
+  std::uint64_t UsedTokens = 0;
+  std::uint64_t TotalTokens = 0;
+};
+
+/// An order to copy a running generation's memory to another server.
+struct MoveOrder {
+  std::string AttemptId;
+  base::Endpoint To;
+  /// The run stops before this copy, which is the last.
+  bool IsLast = false;
+};
+
+/// What became of a MoveOrder.
+struct MoveAnswer {
+  enum class Outcome {
+    Copied,
+    NoSuchRun, ///< It has not begun to run, or is over.
+    Busy,      ///< A copy is under way already.
+    NoRoom,    ///< No room at the destination, or no way there.
+    Failed,
+  };
+  Outcome What = Outcome::Failed;
+  /// Names the copy; also given when a last copy failed, for the source.
+  std::string Handle;
+  std::uint64_t EventsMade = 0;
+};
+
+struct Dialect {
+  std::function<CallerRequest(http::Request)> ReadRequest;
+  std::function<http::Request(const CallerRequest &, const ServerOrder &)>
+      ToServer;
+  std::function<ServerAnswer(const CallerRequest &, const http::AnswerHead &)>
+      ReadAnswer;
+  /// Puts the attempt's id on an answer of the gateway's own.
+  std::function<void(const CallerRequest &, http::Response &)> MarkAnswer;
+  std::function<http::Request(const MoveOrder &)> ToMove;
+  std::function<MoveAnswer(const base::Result<http::Response> &)> ReadMove;
+  std::function<http::Request(std::string_view handle)> ToFreeCopy;
+  std::function<http::Request()> ToReport;
+  std::function<base::Result<ServerReport>(const http::Response &)> ReadReport;
+  /// The path at which a caller's balancer asks whether the gateway is ready.
+  std::string ReadyPath;
+};
+
+} // namespace drumlanding::gateway
--- /dev/null
+++ b/include/drumlanding/gateway/directory.h
@@ -0,0 +1,106 @@
+/// Directory: the backend servers that the gateway knows: listed, leaving,
+/// gone, and avoided for failing.
+///
+///   Directory directory;
+///   directory.replaceAll(now, servers);            // the whole list was read
+///   directory.put(now, server); directory.remove(now, id);
+///   for (const Server *s : directory.usable(now, "tutor-llm")) ...
+///
+/// Entries that vanish while the store is away, or just after its return, may
+/// have lapsed with their server well: they stay in use until GraceAfterReturn
+/// has passed without them.
+#pragma once
+
+#include "drumlanding/gateway/config.h"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace drumlanding::gateway {
+
+/// How a request to a backend server ended, as far as it tells of the server.
+enum class ServerOutcome {
+  Served,      ///< An answer of its own, whole.
+  Failed,      ///< An error, a broken answer, or none.
+  Refused,     ///< It said that it did not run the request.
+  Unreachable, ///< No connection came about.
+};
+
+/// A backend server and what is known of it.
+struct Server {
+  ListedServer Listed;
+  bool IsLeaving = false;
+  /// When it was first known to leave.
+  base::Instant LeavingSince{};
+  /// When it will be gone; unset when unknown.
+  base::Instant GoneAt{};
+  /// The list lost it, perhaps only because the store was away.
+  bool IsMissing = false;
+  /// Recent failures as a part of recent outcomes; old ones fade.
+  double FailurePart = 0;
+  /// Not chosen before this moment.
+  base::Instant AvoidUntil{};
+  /// Requests of this gateway in progress there.
+  int Open = 0;
+};
+
+class Directory {
+public:
+  /// After the store's return, lapsed entries have this long to come back: the
+  /// servers write theirs again within two seconds.
+  static constexpr base::milliseconds GraceAfterReturn{2'300};
+  /// A server that the list has lost, or that is leaving, is forgotten after
+  /// this: its last requests have ended by then.
+  static constexpr base::seconds ForgetAfter{60};
+
+  /// Called when a server is first known to leave.
+  std::function<void(const Server &)> OnLeaving;
+  /// Called with a sentence for each change of what is believed.
+  std::function<void(std::string_view event, const Server &)> OnChange;
+
+  /// The whole list as the store has it.
+  void replaceAll(base::Instant now, const std::vector<ListedServer> &servers);
+  void put(base::Instant now, const ListedServer &server);
+  /// The list no longer holds the server.
+  void remove(base::Instant now, std::string_view id);
+  /// The server itself, or another gateway, says that it is leaving.
+  void markLeaving(base::Instant now, std::string_view id);
+  /// The server says when it will be gone.
+  void setGoneAt(std::string_view id, base::Instant at);
+  /// Another server answered at its address.
+  void markReplaced(base::Instant now, std::string_view id);
+
+  /// A call to the store failed, or one succeeded.
+  void storeFailed(base::Instant now);
+  void storeAnswered(base::Instant now);
+  /// Lets go of what the store has not listed again.
+  void tick(base::Instant now);
+
+  void note(base::Instant now, std::string_view id, ServerOutcome outcome);
+  void opened(std::string_view id);
+  void closed(std::string_view id);
+
+  const Server *find(std::string_view id) const;
+  /// Returns the servers of a service that may get new work. When all of them
+  /// are avoided for failing, returns them all the same.
+  std::vector<const Server *> usable(base::Instant now,
+                                     std::string_view service) const;
+  /// Every server that is not gone, for other gateways.
+  std::vector<ListedServer> list() const;
+  bool isEmpty() const { return Servers.empty(); }
+
+private:
+  void leave(base::Instant now, Server &server);
+  void changed(std::string_view event, const Server &server) const;
+  bool isGraceTime(base::Instant now) const;
+
+  std::map<std::string, Server, std::less<>> Servers;
+  bool IsStoreAway = false;
+  base::Instant StoreFailedAt{};
+  base::Instant StoreBackAt{};
+};
+
+} // namespace drumlanding::gateway
--- /dev/null
+++ b/include/drumlanding/gateway/ledger.h
@@ -0,0 +1,83 @@
+/// Ledger: the generations that run on each engine, from this gateway and from
+/// the others, and what they will make of its memory.
+///
+///   Ledger ledger;
+///   ledger.begin(now, server, run);
+///   ledger.progress(now, runId, 40, true);
+///   EngineLoad load = ledger.loadOf(now, server);
+///   ledger.end(runId);
+#pragma once
+
+#include "drumlanding/base/clock.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace drumlanding::gateway {
+
+/// Names a generation among all gateways: a hash of its attempt's id.
+using RunId = std::uint64_t;
+
+/// A generation on an engine.
+struct LedgerRun {
+  RunId Id = 0;
+  std::string Server;
+  std::uint32_t PromptTokens = 0;
+  /// The caller's estimate of its output, and the most it may make.
+  std::uint32_t ExpectedTokens = 0;
+  std::uint32_t MostTokens = 0;
+  std::uint32_t MadeTokens = 0;
+  bool HasBegun = false;
+  /// True for a copy that only holds memory.
+  bool IsCopy = false;
+  base::Instant Since{};
+};
+
+/// What is known of an engine's work.
+struct EngineLoad {
+  int Running = 0;
+  /// Prompt tokens that wait to be read.
+  std::uint64_t UnreadTokens = 0;
+  /// Memory in use, and forecast for the near future.
+  std::uint64_t UsedTokens = 0;
+  std::uint64_t ForecastTokens = 0;
+};
+
+/// Returns how many tokens a generation is expected to add yet.
+std::uint32_t expectedRemaining(const LedgerRun &run);
+
+class Ledger {
+public:
+  /// The gateway whose own runs have this name.
+  static constexpr std::string_view Own = "";
+
+  /// Notes a run of this gateway. A run that exists moves to the new server.
+  void begin(const LedgerRun &run);
+  void progress(RunId id, std::uint32_t madeTokens);
+  void end(RunId id);
+
+  /// Replaces what another gateway has told of its runs.
+  void takePeer(base::Instant now, const std::string &peer,
+                std::vector<LedgerRun> runs);
+  /// Forgets gateways that have not told anything for a while.
+  void tick(base::Instant now);
+
+  EngineLoad loadOf(std::string_view server) const;
+  /// This gateway's runs, to be told to the others.
+  std::vector<LedgerRun> ownRuns() const;
+
+private:
+  struct Peer {
+    base::Instant HeardAt{};
+    std::vector<LedgerRun> Runs;
+  };
+
+  std::unordered_map<RunId, LedgerRun> Runs;
+  std::map<std::string, Peer> Peers;
+};
+
+} // namespace drumlanding::gateway
--- /dev/null
+++ b/include/drumlanding/gateway/peers.h
@@ -0,0 +1,73 @@
+/// Peers: the other gateways, known from a few seed addresses and from what
+/// they tell each other.
+///
+///   Peers peers({"front-1", own, incarnation, seeds});
+///   for (const base::Endpoint &to : peers.due(now)) send(to, gossip);
+///   peers.heard(now, gossip);
+#pragma once
+
+#include "drumlanding/base/clock.h"
+#include "drumlanding/base/settings.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace drumlanding::gateway {
+
+namespace wire {
+class Gossip;
+}
+
+struct PeersOptions {
+  std::string Name;
+  base::Endpoint Own;
+  std::uint64_t Incarnation = 0;
+  std::vector<base::Endpoint> Seeds;
+};
+
+/// Another gateway.
+struct Peer {
+  std::string Name;
+  base::Endpoint Address;
+  std::uint64_t Incarnation = 0;
+  base::Instant HeardAt{};
+  std::uint64_t ConfigVersion = 0;
+  /// When its list of servers was last heard from the store.
+  base::Instant ListFrom{};
+};
+
+class Peers {
+public:
+  explicit Peers(PeersOptions options);
+
+  /// Notes a message from another gateway; false when it is our own or says
+  /// nothing of use.
+  bool heard(base::Instant now, const wire::Gossip &gossip);
+
+  /// Returns whom to tell now: everyone live, and the seeds and addresses
+  /// heard of that have not answered, more seldom.
+  std::vector<base::Endpoint> due(base::Instant now);
+
+  std::vector<Peer> live(base::Instant now) const;
+
+  /// Returns how many gateways may be sending requests, this one included:
+  /// all heard lately, since one that is cut off goes on.
+  int gateways(base::Instant now) const;
+
+private:
+  struct Contact {
+    Peer Known;
+    bool HasAnswered = false;
+    base::Instant NextTry{};
+    base::Instant AddedAt{};
+  };
+  void add(base::Instant now, const base::Endpoint &address);
+
+  PeersOptions Options;
+  /// By address.
+  std::map<std::string, Contact> Contacts;
+};
+
+} // namespace drumlanding::gateway
--- /dev/null
+++ b/include/drumlanding/gateway/placement.h
@@ -0,0 +1,60 @@
+/// Placement: which backend server takes a request.
+///
+///   Placement p(directory, ledger, "hall-a");
+///   const Server *s = p.forGeneration(now, service, demand, tried);
+///   const Server *s = p.forCall(now, "shop", tried, random);
+#pragma once
+
+#include "drumlanding/base/hash.h"
+#include "drumlanding/gateway/directory.h"
+#include "drumlanding/gateway/ledger.h"
+
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace drumlanding::gateway {
+
+/// What a generation needs of an engine.
+struct Demand {
+  std::uint32_t PromptTokens = 0;
+  std::uint32_t ExpectedTokens = 0;
+};
+
+/// Why an engine was chosen, for the log.
+struct Choice {
+  const Server *Chosen = nullptr;
+  EngineLoad Load;
+  double CostMs = 0;
+  int Candidates = 0;
+};
+
+class Placement {
+public:
+  Placement(const Directory &directory, const Ledger &ledger, std::string zone)
+      : Servers(directory), Runs(ledger), Zone(std::move(zone)) {}
+
+  /// Chooses an engine by the delay that the generation would meet and cause
+  /// there, and by the memory that it would find. `near` is the zone that a
+  /// copy comes from, for moves; empty for new generations.
+  Choice forGeneration(base::Instant now, const Service &service,
+                       const Demand &demand, std::span<const std::string> tried,
+                       std::string_view near = {}) const;
+
+  /// Chooses a plain server: the one with the fewest open requests of this
+  /// gateway for its slots, and of equals one of the same zone.
+  const Server *forCall(base::Instant now, std::string_view service,
+                        std::span<const std::string> tried,
+                        base::Random &random) const;
+
+private:
+  double costOf(const Server &server, const EngineTraits &engine,
+                const EngineLoad &load, const Demand &demand,
+                std::string_view near) const;
+
+  const Directory &Servers;
+  const Ledger &Runs;
+  std::string Zone;
+};
+
+} // namespace drumlanding::gateway
--- a/include/drumlanding/http/http.h
+++ b/include/drumlanding/http/http.h
@@ -57,8 +57,10 @@
   std::string Data;
 };
 
-/// Answers one request. Use either `send`, or `beginEvents`, `event` and
-/// `endEvents`. All return false once the caller is gone.
+/// Answers one request. Use either `send`; or `beginEvents`, `events` and
+/// `endEvents`; or `beginBody`, `body` and `endBody`. All return false once the
+/// caller is gone. A handler that returns with an open body breaks the
+/// connection off, so that the answer does not look whole.
 class Exchange {
 public:
   virtual ~Exchange() = default;
@@ -66,17 +68,37 @@
   virtual asio::awaitable<bool> beginEvents(std::vector<Header> headers) = 0;
   virtual asio::awaitable<bool> events(std::vector<ServerEvent> events) = 0;
   virtual asio::awaitable<bool> endEvents() = 0;
+  /// Begins an answer in chunks of unknown number.
+  virtual asio::awaitable<bool> beginBody(int status,
+                                          std::vector<Header> headers) = 0;
+  virtual asio::awaitable<bool> body(std::string bytes) = 0;
+  virtual asio::awaitable<bool> endBody() = 0;
+  /// Announces with this answer that the connection closes after it.
+  virtual void closeAfter() = 0;
   /// Calls `gone` when the caller closes the connection in mid-answer.
   virtual void onGone(std::function<void()> gone) = 0;
 };
 
 using Handler = std::function<asio::awaitable<void>(Request, Exchange &)>;
 
+/// What a caller may send, and how long it may take and rest.
+struct CallerLimits {
+  std::uint32_t MaxHeaderBytes = 16 << 10;
+  std::uint64_t MaxBodyBytes = 1 << 20;
+  /// From a request's first byte to the end of its headers.
+  base::milliseconds HeaderLimit{10'000};
+  /// Between requests, and for each read or write within one.
+  base::milliseconds IdleLimit{60'000};
+};
+
 struct ServerOptions {
-  std::size_t MaxBodyBytes = 1 << 20;
-  base::seconds IdleLimit{60};
+  CallerLimits Limits;
+  /// When set, replaces `Limits` from the next request on.
+  std::function<CallerLimits()> CurrentLimits;
   /// What an oversized body is answered with.
   Response TooLarge{413, "text/plain", "The body is too large.\n", {}};
+  Response HeaderTooLarge{431, "text/plain", "The headers are too large.\n", {}};
+  Response TooSlow{408, "text/plain", "The request came too slowly.\n", {}};
   Response Malformed{400, "text/plain", "The request is malformed.\n", {}};
 };
 
@@ -89,6 +111,10 @@
   ~Server();
   /// Closes the port; open connections go on until their answer is sent.
   void stopAccepting();
+  /// From now on each answer closes its connection.
+  void closeAfterAnswers();
+  /// Closes the connections on which no request is being read or answered.
+  void closeIdle();
 
 private:
   struct State;
--- a/src/base/settings.cc
+++ b/src/base/settings.cc
@@ -6,6 +6,7 @@
 #include <charconv>
 #include <cstdio>
 #include <cstdlib>
+#include <fstream>
 #include <gflags/gflags.h>
 #include <map>
 
@@ -14,6 +15,7 @@
 
 constexpr int ExitBadSettings = 2;
 constexpr std::string_view EnvironmentPrefix = "DRUMLANDING_";
+constexpr std::string_view SettingsFileFlag = "node_file";
 
 std::string environmentName(std::string_view flag) {
   std::string name(EnvironmentPrefix);
@@ -75,7 +77,7 @@
   return Done{};
 }
 
-/// One word of the command line that begins with a dash.
+/// One flag as the command line or a settings file spells it.
 struct FlagWord {
   std::string Name;
   std::string Value;
@@ -91,17 +93,59 @@
           std::string(word.substr(equals + 1)), true};
 }
 
+/// Sets the flags that a settings file names, one --flag=value a line. Blank
+/// lines and lines that begin with # say nothing.
+Result<Done> readFile(const std::string &path,
+                      std::span<const std::string_view> allowed) {
+  std::ifstream file(path);
+  if (!file)
+    return invalid("--node_file", "cannot be read: " + path);
+  std::string line;
+  for (int number = 1; std::getline(file, line); ++number) {
+    if (line.empty() || line.starts_with('#'))
+      continue;
+    const std::string where = path + ":" + std::to_string(number);
+    if (!line.starts_with("--"))
+      return invalid(where, "not --flag=value: " + line);
+    const FlagWord word = splitWord(line);
+    if (!isAllowed(allowed, word.Name))
+      return invalid(where, "unknown flag --" + word.Name);
+    if (auto r = setFlag(word.Name, word.Value, where); !ok(r))
+      return r;
+  }
+  return Done{};
+}
+
 bool isBool(const std::string &flag) {
   gflags::CommandLineFlagInfo info;
   return gflags::GetCommandLineFlagInfo(flag.c_str(), &info) &&
          info.type == "bool";
 }
 
+/// Returns the settings file that the command line or the environment names.
+std::string settingsFile(int argc, char **argv) {
+  const std::string flag = "--" + std::string(SettingsFileFlag);
+  for (int i = 1; i < argc; ++i) {
+    const std::string_view arg = argv[i];
+    if (arg.starts_with(flag + "="))
+      return std::string(arg.substr(flag.size() + 1));
+    if (arg == flag && i + 1 < argc)
+      return argv[i + 1];
+  }
+  const char *path = std::getenv(environmentName(SettingsFileFlag).c_str());
+  return path ? path : "";
+}
+
 } // namespace
 
 Result<std::vector<std::string>>
 readSettings(int argc, char **argv, std::string_view synopsis,
              std::span<const std::string_view> allowed) {
+  const bool takesFile = isAllowed(allowed, SettingsFileFlag);
+  if (const std::string path = takesFile ? settingsFile(argc, argv) : "";
+      !path.empty())
+    if (auto r = readFile(path, allowed); !ok(r))
+      return error(r);
   if (auto r = readEnvironment(allowed); !ok(r))
     return error(r);
   std::vector<std::string> words;
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -39,10 +39,11 @@
 using base::Error;
 using base::Result;
 
-constexpr std::string_view CommonFlags[] = {
-    "name",        "place",          "failure_domain",  "control_listen",
-    "control_key", "author_keys",    "approver_keys",   "log_level",
-    "log_format",  "worker_threads", "fatal_invariants"};
+constexpr std::string_view ProcessFlags[] = {
+    "name",       "place",          "failure_domain",  "log_level",
+    "log_format", "worker_threads", "fatal_invariants"};
+constexpr std::string_view DaemonFlags[] = {"control_listen", "control_key",
+                                            "author_keys", "approver_keys"};
 constexpr std::size_t ControlKeyBytes = 32;
 constexpr int MostWorkers = 64;
 
@@ -78,13 +79,13 @@
 
 } // namespace
 
-Result<DaemonSettings>
-readDaemonSettings(int argc, char **argv, std::string_view synopsis,
-                   std::span<const std::string_view> extra) {
+Result<ProcessSettings>
+readProcessSettings(int argc, char **argv, std::string_view synopsis,
+                    std::span<const std::string_view> extra) {
   if (sodium_init() < 0)
     return base::invalid("libsodium", "cannot be initialised");
-  std::vector<std::string_view> allowed(std::begin(CommonFlags),
-                                        std::end(CommonFlags));
+  std::vector<std::string_view> allowed(std::begin(ProcessFlags),
+                                        std::end(ProcessFlags));
   allowed.insert(allowed.end(), extra.begin(), extra.end());
   const auto words = base::readSettings(argc, argv, synopsis, allowed);
   if (!ok(words))
@@ -96,6 +97,20 @@
     return error(r);
   if (auto r = checkIdentity(); !ok(r))
     return error(r);
+  base::setInvariantsFatal(FLAGS_fatal_invariants);
+  return ProcessSettings{FLAGS_name, FLAGS_place, FLAGS_failure_domain,
+                         FLAGS_worker_threads};
+}
+
+Result<DaemonSettings>
+readDaemonSettings(int argc, char **argv, std::string_view synopsis,
+                   std::span<const std::string_view> extra) {
+  std::vector<std::string_view> flags(std::begin(DaemonFlags),
+                                      std::end(DaemonFlags));
+  flags.insert(flags.end(), extra.begin(), extra.end());
+  const auto process = readProcessSettings(argc, argv, synopsis, flags);
+  if (!ok(process))
+    return error(process);
   const auto control =
       base::parseEndpoint("--control_listen", FLAGS_control_listen);
   if (!ok(control))
@@ -111,7 +126,6 @@
       bundle::parseKeys("--approver_keys", FLAGS_approver_keys);
   if (!ok(approvers))
     return error(approvers);
-  base::setInvariantsFatal(FLAGS_fatal_invariants);
   return DaemonSettings{
       FLAGS_name,          FLAGS_place,  FLAGS_failure_domain,
       value(control),      {value(key)}, {value(authors), value(approvers)},
--- a/src/entry/shell.cc
+++ b/src/entry/shell.cc
@@ -113,7 +113,7 @@
     return error(control);
   s.Control = std::move(value(control));
   http::ServerOptions http;
-  http.MaxBodyBytes = LargestBody;
+  http.Limits.MaxBodyBytes = LargestBody;
   http.TooLarge = refusalResponse({Verdict::NotRun, Reason::BodyTooLarge, {}});
   http.Malformed =
       refusalResponse({Verdict::NotRun, Reason::MalformedRequest, {}});
--- /dev/null
+++ b/src/gateway/event-splitter.cc
@@ -0,0 +1,79 @@
+#include "drumlanding/gateway/event-splitter.h"
+
+#include <charconv>
+
+namespace drumlanding::gateway {
+namespace {
+
+struct EventEnd {
+  /// Offset behind the blank line; npos when the event is not whole.
+  std::size_t Offset = std::string_view::npos;
+};
+
+/// Finds the blank line that ends an event.
+EventEnd findEnd(std::string_view text) {
+  std::size_t from = 0;
+  for (;;) {
+    const std::size_t line = text.find('\n', from);
+    if (line == std::string_view::npos)
+      return {};
+    const std::string_view next = text.substr(line + 1, 2);
+    if (next.starts_with('\n'))
+      return {line + 2};
+    if (next == "\r\n")
+      return {line + 3};
+    from = line + 1;
+  }
+}
+
+std::optional<std::int64_t> idOf(std::string_view event) {
+  std::size_t from = 0;
+  while (from < event.size()) {
+    const std::size_t end = std::min(event.find('\n', from), event.size());
+    std::string_view line = event.substr(from, end - from);
+    from = end + 1;
+    if (!line.starts_with("id:"))
+      continue;
+    line.remove_prefix(3);
+    if (line.starts_with(' '))
+      line.remove_prefix(1);
+    std::int64_t id = 0;
+    const auto [p, ec] =
+        std::from_chars(line.data(), line.data() + line.size(), id);
+    if (ec == std::errc())
+      return id;
+  }
+  return std::nullopt;
+}
+
+} // namespace
+
+bool EventSplitter::isNew(std::string_view event) {
+  const auto id = idOf(event);
+  if (!id)
+    return true;
+  if (LastId && *id <= *LastId)
+    return false;
+  LastId = *id;
+  ++Events;
+  return true;
+}
+
+std::string EventSplitter::feed(std::string_view bytes) {
+  Rest += bytes;
+  std::string whole;
+  std::string_view left = Rest;
+  for (;;) {
+    const EventEnd end = findEnd(left);
+    if (end.Offset == std::string_view::npos)
+      break;
+    const std::string_view event = left.substr(0, end.Offset);
+    if (isNew(event))
+      whole += event;
+    left.remove_prefix(end.Offset);
+  }
+  Rest = std::string(left);
+  return whole;
+}
+
+} // namespace drumlanding::gateway
--- /dev/null
+++ b/src/gateway/forwarding.cc
@@ -0,0 +1,186 @@
+#include "forwarding.h"
+
+#include <algorithm>
+#include <spdlog/fmt/fmt.h>
+
+namespace drumlanding::gateway {
+namespace {
+
+using base::milliseconds;
+using base::Reason;
+using base::Verdict;
+
+/// A server that answers at its own time limit may still be heard.
+constexpr milliseconds LimitSlack{100};
+/// Connections come about in a few ms; a lost first packet is sent again only
+/// after a second, when another server is the better choice.
+constexpr milliseconds ConnectLimit{400};
+/// Late answers to earlier requests that are read past.
+constexpr int MostForeignAnswers = 3;
+/// With less time left no further attempt is worth its load.
+constexpr milliseconds LeastTime{20};
+/// When to come back if no server could be found.
+constexpr milliseconds RetryAfter{250};
+constexpr int MostUrgent = 0;
+constexpr int LeastUrgent = 9;
+/// Routes' priorities within one priority of organisations.
+constexpr int RouteLevels = 3;
+
+} // namespace
+
+int Forwarding::priority() const {
+  const int own = std::clamp(TheRoute->Priority, 0, RouteLevels - 1);
+  const int first = Holder && Holder->Priority ? *Holder->Priority : 0;
+  return std::clamp(first * RouteLevels + own, MostUrgent, LeastUrgent);
+}
+
+void Forwarding::stop() {
+  if (Connection)
+    Connection->close();
+}
+
+void Forwarding::startLimit() {
+  Limit.expires_at(Deadline + LimitSlack);
+  Limit.async_wait([this](boost::system::error_code ec) {
+    if (ec)
+      return;
+    IsLate = true;
+    stop();
+  });
+}
+
+asio::awaitable<std::shared_ptr<http::Connection>> connectTo(Forwarding &f,
+                                                             Server server) {
+  const milliseconds limit =
+      std::clamp(f.timeLeft(), milliseconds(1), ConnectLimit);
+  auto opened =
+      co_await http::Connection::open(server.Listed.Address, limit);
+  if (!ok(opened))
+    co_return nullptr;
+  co_return value(opened);
+}
+
+void sendTo(Forwarding &f, const Server &server,
+            const std::optional<Continuation> &from) {
+  ServerOrder order;
+  order.ServerId = server.Listed.Id;
+  order.TimeLeft = std::max(f.timeLeft(), milliseconds(1));
+  if (f.Holder)
+    order.Organisation = f.Holder->Name;
+  if (f.TheService->Engine)
+    order.Priority = f.priority();
+  order.From = from;
+  f.Connection->send(f.W.Words.ToServer(f.Request, order));
+}
+
+asio::awaitable<std::optional<ServerAnswer>> readOwnHead(Forwarding &f) {
+  for (int i = 0; i < MostForeignAnswers; ++i) {
+    auto head = co_await f.Connection->readHead();
+    if (!ok(head))
+      co_return std::nullopt;
+    ServerAnswer answer = f.W.Words.ReadAnswer(f.Request, value(head));
+    if (answer.IsOwn || answer.HasNotRun)
+      co_return answer;
+    f.W.Log.write("foreign-answer", {{"request", f.Request.AttemptId}});
+    const auto skipped = co_await readBody(f);
+    if (!skipped)
+      co_return std::nullopt;
+  }
+  co_return std::nullopt;
+}
+
+asio::awaitable<std::optional<std::string>> readBody(Forwarding &f) {
+  std::string body;
+  for (;;) {
+    auto piece = co_await f.Connection->read();
+    if (!ok(piece))
+      co_return std::nullopt;
+    if (value(piece).empty())
+      co_return body;
+    body += value(piece);
+  }
+}
+
+AttemptEnd endOf(const ServerAnswer &answer) {
+  constexpr int FirstFailure = 500;
+  if (answer.HasNotRun)
+    return AttemptEnd::NotRun;
+  // Without its stamp it is not the server's answer.
+  if (!answer.IsStamped)
+    return AttemptEnd::Broken;
+  return answer.Status >= FirstFailure ? AttemptEnd::Failed
+                                       : AttemptEnd::Served;
+}
+
+Step stepAfter(Forwarding &f, const Attempt &attempt, bool hasServer) {
+  AttemptState state;
+  state.End = attempt.End;
+  state.Kind = f.TheRoute->Kind;
+  state.Sends = f.Sends;
+  state.MaxSends = f.TheRoute->MaxAttempts;
+  state.MayHaveRun = f.MayHaveRun;
+  state.HasTime = f.timeLeft() > LeastTime && !f.isOver();
+  state.HasServer = hasServer;
+  return nextStep(state, [&] {
+    const base::Instant now = f.W.now();
+    return f.W.Budget.tryRetry(now, f.TheService->Name,
+                               f.W.Others.gateways(now));
+  });
+}
+
+http::Response refusal(const Forwarding &f, Verdict verdict, Reason why) {
+  constexpr int NotRunStatus = 503;
+  constexpr int LateStatus = 504;
+  constexpr int MayHaveRunStatus = 502;
+  http::Response response;
+  response.Status = MayHaveRunStatus;
+  if (why == Reason::Expired)
+    response.Status = LateStatus;
+  if (verdict == Verdict::NotRun)
+    response.Status = NotRunStatus;
+  response.ContentType = "text/plain";
+  response.Body = std::string(base::explain(why)) + "\n";
+  if (verdict == Verdict::NotRun)
+    response.Headers.push_back(
+        {"Retry-After",
+         fmt::format("{:.2f}", std::chrono::duration<double>(RetryAfter).count())});
+  response.Headers.push_back(
+      {"Drumlanding-Verdict", std::string(toString(verdict))});
+  f.W.Words.MarkAnswer(f.Request, response);
+  return response;
+}
+
+http::Response toResponse(WholeAnswer answer) {
+  http::Response response;
+  response.Status = answer.Head.Status;
+  response.Headers = std::move(answer.Head.Headers);
+  response.Body = std::move(answer.Body);
+  return response;
+}
+
+void noteOutcome(Forwarding &f, const std::string &server,
+                 const Attempt &attempt) {
+  if (f.HasCallerLeft)
+    return;
+  ServerOutcome outcome = ServerOutcome::Served;
+  switch (attempt.End) {
+  case AttemptEnd::Served:
+    break;
+  case AttemptEnd::Failed:
+  case AttemptEnd::Broken:
+    outcome = ServerOutcome::Failed;
+    break;
+  case AttemptEnd::NotRun:
+    outcome = ServerOutcome::Refused;
+    break;
+  case AttemptEnd::Unreachable:
+    outcome = ServerOutcome::Unreachable;
+    break;
+  }
+  const base::Instant now = f.W.now();
+  f.W.Servers.note(now, server, outcome);
+  if (attempt.Answer && attempt.Answer->Head.IsOtherServer)
+    f.W.Servers.markReplaced(now, server);
+}
+
+} // namespace drumlanding::gateway
--- /dev/null
+++ b/src/gateway/gossip.h
@@ -0,0 +1,43 @@
+/// Gossip: tells the other gateways what this one does and knows, takes what
+/// they tell, and fetches from them what the store keeps from this one.
+#pragma once
+
+#include "world.h"
+
+#include "drumlanding/http/http.h"
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <memory>
+
+namespace drumlanding::gateway {
+
+class Gossip {
+public:
+  static base::Result<std::unique_ptr<Gossip>> start(World &world);
+
+  /// Answers other gateways' questions at the control address.
+  asio::awaitable<void> serve(http::Request request, http::Exchange &x);
+
+  /// Tells the others that this gateway ends.
+  void sayGoodbye();
+
+private:
+  explicit Gossip(World &world);
+  asio::awaitable<void> listen();
+  asio::awaitable<void> tell();
+  void tellAll(bool isLast);
+  void take(std::string_view datagram);
+  asio::awaitable<void> catchUp();
+  asio::awaitable<void> fetchConfig(Peer from);
+  asio::awaitable<void> fetchServers(Peer from);
+
+  World &W;
+  asio::ip::udp::socket Socket;
+  asio::steady_timer NextTell;
+  bool IsTellDue = false;
+  std::unique_ptr<http::Server> Control;
+};
+
+} // namespace drumlanding::gateway
--- /dev/null
+++ b/src/gateway/ledger.cc
@@ -0,0 +1,82 @@
+#include "drumlanding/gateway/ledger.h"
+
+#include <algorithm>
+
+namespace drumlanding::gateway {
+namespace {
+
+/// A gateway that is silent for so long (three of its reports) has no say.
+constexpr base::milliseconds PeerSilence{1'800};
+/// Tokens that a generation makes within the time that placement looks ahead:
+/// four seconds at 8 ms a token.
+constexpr std::uint32_t HorizonTokens = 500;
+/// A generation that has outrun its estimate goes on for this part of what it
+/// has made: estimates are right at the median and widely spread.
+constexpr double OutrunPart = 0.5;
+
+void add(EngineLoad &load, const LedgerRun &run) {
+  const std::uint32_t remaining = expectedRemaining(run);
+  load.UsedTokens += run.PromptTokens + run.MadeTokens;
+  load.ForecastTokens += run.PromptTokens + run.MadeTokens + remaining;
+  if (run.IsCopy)
+    return;
+  ++load.Running;
+  if (!run.HasBegun)
+    load.UnreadTokens += run.PromptTokens;
+}
+
+} // namespace
+
+std::uint32_t expectedRemaining(const LedgerRun &run) {
+  const auto outrun = static_cast<std::uint32_t>(run.MadeTokens * OutrunPart);
+  const std::uint32_t left = run.ExpectedTokens > run.MadeTokens
+                                 ? run.ExpectedTokens - run.MadeTokens
+                                 : outrun;
+  const std::uint32_t most =
+      run.MostTokens > run.MadeTokens ? run.MostTokens - run.MadeTokens : 0;
+  return std::min({left, most, HorizonTokens});
+}
+
+void Ledger::begin(const LedgerRun &run) { Runs[run.Id] = run; }
+
+void Ledger::progress(RunId id, std::uint32_t madeTokens) {
+  const auto it = Runs.find(id);
+  if (it == Runs.end())
+    return;
+  it->second.MadeTokens = madeTokens;
+  it->second.HasBegun = true;
+}
+
+void Ledger::end(RunId id) { Runs.erase(id); }
+
+void Ledger::takePeer(base::Instant now, const std::string &peer,
+                      std::vector<LedgerRun> runs) {
+  Peers[peer] = {now, std::move(runs)};
+}
+
+void Ledger::tick(base::Instant now) {
+  std::erase_if(Peers, [&](const auto &entry) {
+    return now - entry.second.HeardAt > PeerSilence;
+  });
+}
+
+EngineLoad Ledger::loadOf(std::string_view server) const {
+  EngineLoad load;
+  for (const auto &[id, run] : Runs)
+    if (run.Server == server)
+      add(load, run);
+  for (const auto &[name, peer] : Peers)
+    for (const LedgerRun &run : peer.Runs)
+      if (run.Server == server)
+        add(load, run);
+  return load;
+}
+
+std::vector<LedgerRun> Ledger::ownRuns() const {
+  std::vector<LedgerRun> runs;
+  for (const auto &[id, run] : Runs)
+    runs.push_back(run);
+  return runs;
+}
+
+} // namespace drumlanding::gateway
--- /dev/null
+++ b/src/gateway/main.cc
@@ -0,0 +1,116 @@
+// drumlanding-gateway: takes callers' HTTP requests and brings them straight to
+// backend servers, by the operators' routes.
+#include "platform/dialect.h"
+#include "platform/source.h"
+#include "shell.h"
+
+#include "drumlanding/daemon/daemon.h"
+
+#include <boost/asio/signal_set.hpp>
+#include <gflags/gflags.h>
+
+DEFINE_string(node_file, "",
+              "[process] file of settings, one --flag=value a line");
+DEFINE_string(listen, "", "[network] IP:port for callers (HTTP)");
+DEFINE_string(ready_listen, "",
+              "[network] IP:port at which the balancer asks for readiness");
+DEFINE_string(gateway_listen, "",
+              "[network] IP:port for the other gateways (UDP and HTTP)");
+DEFINE_string(platform, "", "[network] IP:port of the platform's store");
+DEFINE_string(seeds, "",
+              "[network] addresses of some gateways, separated by commas");
+DEFINE_double(retry_part, 0.2,
+              "[decisions] second sends for each request, 0 to 1");
+DEFINE_double(retry_extra, 0,
+              "[decisions] second sends that all gateways together may add in "
+              "a window, 0 or more");
+DEFINE_double(retry_window_s, 10, "[decisions] that window in seconds, 1 to 60");
+DEFINE_double(grace_s, 8,
+              "[process] seconds from the order to stop to the kill, 1 to 600");
+
+namespace {
+
+using namespace drumlanding;
+
+constexpr std::string_view Flags[] = {
+    "node_file", "listen",      "ready_listen", "gateway_listen", "platform", "seeds",
+    "retry_part",  "retry_extra",  "retry_window_s", "grace_s"};
+
+base::milliseconds toMilliseconds(double seconds) {
+  return base::milliseconds(static_cast<std::int64_t>(seconds * 1000));
+}
+
+base::Result<base::Done> readAddresses(gateway::GatewaySettings &settings) {
+  struct Address {
+    std::string_view Flag;
+    const std::string &Text;
+    base::Endpoint &Into;
+  };
+  const Address addresses[] = {
+      {"--listen", FLAGS_listen, settings.Listen},
+      {"--ready_listen", FLAGS_ready_listen, settings.ReadyListen},
+      {"--gateway_listen", FLAGS_gateway_listen, settings.ControlListen},
+      {"--platform", FLAGS_platform, settings.Store}};
+  for (const Address &address : addresses) {
+    const auto read = base::parseEndpoint(address.Flag, address.Text);
+    if (!ok(read))
+      return error(read);
+    address.Into = value(read);
+  }
+  for (const std::string &text : base::splitList(FLAGS_seeds)) {
+    const auto seed = base::parseEndpoint("--seeds", text);
+    if (!ok(seed))
+      return error(seed);
+    settings.Seeds.push_back(value(seed));
+  }
+  return base::Done{};
+}
+
+base::Result<gateway::GatewaySettings> readGatewaySettings(int argc,
+                                                           char **argv) {
+  const auto process = daemon::readProcessSettings(
+      argc, argv, "drumlanding-gateway: forwards callers' requests", Flags);
+  if (!ok(process))
+    return error(process);
+  gateway::GatewaySettings settings;
+  settings.Name = value(process).Name;
+  settings.Zone = value(process).FailureDomain;
+  if (auto r = readAddresses(settings); !ok(r))
+    return error(r);
+  if (FLAGS_retry_part < 0 || FLAGS_retry_part > 1)
+    return base::invalid("--retry_part", "must be from 0 to 1");
+  if (FLAGS_retry_extra < 0)
+    return base::invalid("--retry_extra", "must be 0 or more");
+  if (FLAGS_retry_window_s < 1 || FLAGS_retry_window_s > 60)
+    return base::invalid("--retry_window_s", "must be from 1 to 60");
+  if (FLAGS_grace_s < 1 || FLAGS_grace_s > 600)
+    return base::invalid("--grace_s", "must be from 1 to 600");
+  settings.Retries = {FLAGS_retry_part, FLAGS_retry_extra,
+                      toMilliseconds(FLAGS_retry_window_s)};
+  settings.Grace = toMilliseconds(FLAGS_grace_s);
+  return settings;
+}
+
+} // namespace
+
+int main(int argc, char **argv) {
+  const auto settings = readGatewaySettings(argc, argv);
+  if (!ok(settings))
+    base::exitOnBadSettings(error(settings));
+  boost::asio::io_context io(1);
+  const platform::Store store(value(settings).Store);
+  auto shell = gateway::Shell::start(io, value(settings),
+                                     platform::makeDialect(),
+                                     platform::makeSource(store));
+  if (!ok(shell))
+    base::exitOnBadSettings(error(shell));
+  boost::asio::signal_set stop(io, SIGTERM, SIGINT);
+  stop.async_wait([&](boost::system::error_code ec, int) {
+    if (!ec)
+      value(shell)->leave();
+  });
+  std::signal(SIGHUP, SIG_IGN);
+  io.run();
+  // Connections that are still open hold references into the shell.
+  std::_Exit(0);
+}
--- /dev/null
+++ b/src/gateway/mover.h
@@ -0,0 +1,65 @@
+/// Mover: brings running generations away from engines that leave. The memory
+/// is copied while the generation runs; the last, short copy stops it, and the
+/// stream goes on from the other engine.
+#pragma once
+
+#include "forwarding.h"
+
+#include "drumlanding/gateway/event-splitter.h"
+
+#include <list>
+#include <memory>
+
+namespace drumlanding::gateway {
+
+/// A generation that is running for a caller.
+struct StreamRun {
+  explicit StreamRun(Forwarding &f) : F(f), MoveEnded(f.W.Io) {
+    MoveEnded.expires_at(base::Instant::max());
+  }
+
+  Forwarding &F;
+  RunId Id = 0;
+  std::string Server;
+  EventSplitter Events;
+  bool IsOver = false;
+  /// A move is under way: the end of the connection is part of it.
+  bool IsMoving = false;
+  /// The source has stopped, or will have: the stream goes on from here.
+  std::optional<Continuation> Next;
+  std::string NextServer;
+  base::Instant StoppedAt{};
+  /// Cancelled when a move ends.
+  asio::steady_timer MoveEnded;
+
+  std::uint32_t madeTokens() const;
+  Demand remainingDemand() const;
+};
+using StreamRunPointer = std::shared_ptr<StreamRun>;
+
+class Mover {
+public:
+  explicit Mover(World &world) : W(world) {}
+
+  void add(const StreamRunPointer &run);
+  void remove(const StreamRunPointer &run);
+  /// Moves all generations that run there.
+  void leave(const Server &server);
+  /// Moves one that began, or arrived, on a server that leaves.
+  void moveIfLeaving(const StreamRunPointer &run);
+
+private:
+  asio::awaitable<void> move(StreamRunPointer run, std::string source);
+  asio::awaitable<bool> copyWhileRunning(StreamRunPointer run, Server source,
+                                         Server destination);
+  asio::awaitable<MoveAnswer> copy(StreamRunPointer run, Server source,
+                                   Server destination, bool isLast);
+  asio::awaitable<void> askWhenGone(std::string server);
+  asio::awaitable<void> freeCopy(base::Endpoint at, std::string handle);
+  base::Instant lastCopyTime(const Server &source) const;
+
+  World &W;
+  std::list<StreamRunPointer> Running;
+};
+
+} // namespace drumlanding::gateway
--- /dev/null
+++ b/src/gateway/peers.cc
@@ -0,0 +1,99 @@
+#include "drumlanding/gateway/peers.h"
+
+#include "gateway.pb.h"
+
+#include <algorithm>
+
+namespace drumlanding::gateway {
+namespace {
+
+/// Without a message for so long a gateway is not told anything any more: six
+/// messages at one each half second.
+constexpr base::milliseconds LiveTime{3'000};
+/// One that was heard within this time still counts for shared limits.
+constexpr base::seconds CountTime{15};
+/// How often silent addresses are tried.
+constexpr base::milliseconds TryEvery{1'000};
+/// An address that never answers is dropped, unless it is a seed.
+constexpr base::seconds DropAfter{20};
+
+} // namespace
+
+Peers::Peers(PeersOptions options) : Options(std::move(options)) {
+  for (const base::Endpoint &seed : Options.Seeds)
+    add({}, seed);
+}
+
+void Peers::add(base::Instant now, const base::Endpoint &address) {
+  if (address == Options.Own)
+    return;
+  const auto [it, isNew] = Contacts.try_emplace(base::toString(address));
+  if (!isNew)
+    return;
+  it->second.Known.Address = address;
+  it->second.AddedAt = now;
+}
+
+bool Peers::heard(base::Instant now, const wire::Gossip &gossip) {
+  const auto address = base::parseEndpoint("peer", gossip.address());
+  if (!ok(address) || value(address) == Options.Own)
+    return false;
+  add(now, value(address));
+  Contact &contact = Contacts[gossip.address()];
+  contact.HasAnswered = !gossip.is_last();
+  Peer &peer = contact.Known;
+  peer.Name = gossip.name();
+  peer.Incarnation = gossip.incarnation();
+  peer.HeardAt = now;
+  peer.ConfigVersion = gossip.config_version();
+  peer.ListFrom = now - base::milliseconds(gossip.list_age_ms());
+  for (const std::string &other : gossip.peers()) {
+    const auto endpoint = base::parseEndpoint("peer", other);
+    if (ok(endpoint))
+      add(now, value(endpoint));
+  }
+  return true;
+}
+
+std::vector<base::Endpoint> Peers::due(base::Instant now) {
+  std::vector<base::Endpoint> due;
+  for (auto it = Contacts.begin(); it != Contacts.end();) {
+    Contact &contact = it->second;
+    const Peer &peer = contact.Known;
+    const bool isSeed =
+        std::find(Options.Seeds.begin(), Options.Seeds.end(), peer.Address) !=
+        Options.Seeds.end();
+    const base::Instant last = std::max(peer.HeardAt, contact.AddedAt);
+    if (!isSeed && now - last > DropAfter) {
+      it = Contacts.erase(it);
+      continue;
+    }
+    ++it;
+    const bool isLive = contact.HasAnswered && now - peer.HeardAt < LiveTime;
+    if (!isLive && now < contact.NextTry)
+      continue;
+    contact.NextTry = now + TryEvery;
+    due.push_back(peer.Address);
+  }
+  return due;
+}
+
+std::vector<Peer> Peers::live(base::Instant now) const {
+  std::vector<Peer> live;
+  for (const auto &[address, contact] : Contacts)
+    if (contact.HasAnswered && now - contact.Known.HeardAt < LiveTime)
+      live.push_back(contact.Known);
+  return live;
+}
+
+int Peers::gateways(base::Instant now) const {
+  const auto n = std::count_if(
+      Contacts.begin(), Contacts.end(), [&](const auto &entry) {
+        const Peer &peer = entry.second.Known;
+        return peer.HeardAt != base::Instant{} &&
+               now - peer.HeardAt < CountTime;
+      });
+  return static_cast<int>(n) + 1;
+}
+
+} // namespace drumlanding::gateway
--- /dev/null
+++ b/src/gateway/placement.cc
@@ -0,0 +1,86 @@
+#include "drumlanding/gateway/placement.h"
+
+#include <algorithm>
+
+namespace drumlanding::gateway {
+namespace {
+
+/// Time to read one prompt token, from the engines' data sheet (14 a ms).
+constexpr double ReadMsPerToken = 1.0 / 14;
+/// Each running generation slows the others' tokens: 0.12 ms a step on the data
+/// sheet, over the some 240 steps in which a new one runs beside it.
+constexpr double RunningMs = 30;
+/// A long prompt delays the tokens of everyone beside it.
+constexpr double DisturbPart = 0.25;
+/// Above this part of its memory an engine begins to preempt.
+constexpr double MemoryLimit = 0.92;
+/// Cost of each token above that limit: a preempted generation is read anew.
+constexpr double OverflowMsPerToken = 2;
+/// Cost of another zone: bytes between zones are paid for.
+constexpr double OtherZoneMs = 20;
+/// Copies between zones take twice as long.
+constexpr double OtherZoneCopyMs = 200;
+
+bool wasTried(std::span<const std::string> tried, const std::string &id) {
+  return std::find(tried.begin(), tried.end(), id) != tried.end();
+}
+
+} // namespace
+
+double Placement::costOf(const Server &server, const EngineTraits &engine,
+                         const EngineLoad &load, const Demand &demand,
+                         std::string_view near) const {
+  const double prompt = demand.PromptTokens;
+  double cost = static_cast<double>(load.UnreadTokens) * ReadMsPerToken;
+  cost += load.Running * (RunningMs + prompt * ReadMsPerToken * DisturbPart);
+  cost += static_cast<double>(server.Listed.ColdLeft.count());
+  const double room =
+      MemoryLimit * static_cast<double>(engine.MemoryTokens) -
+      static_cast<double>(load.ForecastTokens) - prompt - demand.ExpectedTokens;
+  if (room < 0)
+    cost -= room * OverflowMsPerToken;
+  if (near.empty())
+    return server.Listed.Zone == Zone ? cost : cost + OtherZoneMs;
+  return server.Listed.Zone == near ? cost : cost + OtherZoneCopyMs;
+}
+
+Choice Placement::forGeneration(base::Instant now, const Service &service,
+                                const Demand &demand,
+                                std::span<const std::string> tried,
+                                std::string_view near) const {
+  Choice best;
+  for (const Server *server : Servers.usable(now, service.Name)) {
+    if (wasTried(tried, server->Listed.Id))
+      continue;
+    ++best.Candidates;
+    const EngineLoad load = Runs.loadOf(server->Listed.Id);
+    const double cost = costOf(*server, *service.Engine, load, demand, near);
+    if (best.Chosen && cost >= best.CostMs)
+      continue;
+    best.Chosen = server;
+    best.Load = load;
+    best.CostMs = cost;
+  }
+  return best;
+}
+
+const Server *Placement::forCall(base::Instant now, std::string_view service,
+                                 std::span<const std::string> tried,
+                                 base::Random &random) const {
+  const Server *best = nullptr;
+  double bestRank = 0;
+  for (const Server *server : Servers.usable(now, service)) {
+    if (wasTried(tried, server->Listed.Id))
+      continue;
+    // Below one open request: first the zone, then chance.
+    const double tie = server->Listed.Zone == Zone ? 0 : 0.5;
+    const double rank = server->Open + tie + random.unit() * 0.4;
+    if (best && rank >= bestRank)
+      continue;
+    best = server;
+    bestRank = rank;
+  }
+  return best;
+}
+
+} // namespace drumlanding::gateway
--- /dev/null
+++ b/src/gateway/routes.cc
@@ -0,0 +1,71 @@
+#include "drumlanding/gateway/routes.h"
+
+#include <algorithm>
+#include <cctype>
+
+namespace drumlanding::gateway {
+namespace {
+
+/// Returns a host in lower case without its port.
+std::string bareHost(std::string_view host) {
+  host = host.substr(0, host.find(':'));
+  std::string bare(host);
+  for (char &c : bare)
+    c = static_cast<char>(std::tolower(static_cast<unsigned char>(c)));
+  return bare;
+}
+
+bool isLonger(const Route *a, const Route *b) {
+  return a->PathPrefix.size() > b->PathPrefix.size();
+}
+
+} // namespace
+
+const Service *Config::service(std::string_view name) const {
+  const auto it =
+      std::find_if(Services.begin(), Services.end(),
+                   [&](const Service &s) { return s.Name == name; });
+  return it == Services.end() ? nullptr : &*it;
+}
+
+RouteTable::RouteTable(Config config) : Current(std::move(config)) {
+  for (const Route &route : Current.Routes)
+    ByHost[bareHost(route.Host)].push_back(&route);
+  for (auto &[host, routes] : ByHost)
+    std::stable_sort(routes.begin(), routes.end(), isLonger);
+  for (const Organisation &organisation : Current.Organisations)
+    for (const std::string &key : organisation.Keys)
+      ByKey.emplace(key, &organisation);
+}
+
+const Route *RouteTable::find(std::string_view host,
+                              std::string_view path) const {
+  const auto it = ByHost.find(bareHost(host));
+  if (it == ByHost.end())
+    return nullptr;
+  for (const Route *route : it->second)
+    if (path.starts_with(route->PathPrefix))
+      return route;
+  return nullptr;
+}
+
+const Organisation *RouteTable::organisationOf(const std::string &key) const {
+  const auto it = ByKey.find(key);
+  return it == ByKey.end() ? nullptr : it->second;
+}
+
+std::string_view chooseService(const Route &route, base::Random &random) {
+  double total = 0;
+  for (const WeightedService &s : route.Services)
+    total += s.Weight;
+  double left = random.unit() * total;
+  for (const WeightedService &s : route.Services) {
+    left -= s.Weight;
+    if (left < 0)
+      return s.Service;
+  }
+  return route.Services.empty() ? std::string_view()
+                                : route.Services.back().Service;
+}
+
+} // namespace drumlanding::gateway
--- /dev/null
+++ b/src/gateway/shell.h
@@ -0,0 +1,35 @@
+/// Shell: the sockets, timers and life of one gateway.
+#pragma once
+
+#include "forwarder.h"
+#include "gossip.h"
+#include "mover.h"
+#include "world.h"
+
+namespace drumlanding::gateway {
+
+class Shell {
+public:
+  static base::Result<std::unique_ptr<Shell>>
+  start(asio::io_context &io, GatewaySettings settings, Dialect dialect,
+        Source source);
+
+  /// Takes no new callers, lets requests end, and stops the context.
+  void leave();
+
+private:
+  Shell(asio::io_context &io, GatewaySettings settings, Dialect dialect,
+        Source source);
+  base::Result<base::Done> listen();
+  asio::awaitable<void> answerReady(http::Request request, http::Exchange &x);
+  asio::awaitable<void> windDown();
+
+  World W;
+  Mover Moves;
+  Forwarder Requests;
+  std::unique_ptr<Gossip> Talk;
+  std::unique_ptr<http::Server> Callers;
+  std::unique_ptr<http::Server> Ready;
+};
+
+} // namespace drumlanding::gateway
--- /dev/null
+++ b/src/gateway/store-watch.cc
@@ -0,0 +1,147 @@
+#include "store-watch.h"
+
+#include "drumlanding/daemon/sleep.h"
+
+#include <algorithm>
+
+namespace drumlanding::gateway {
+namespace {
+
+using base::milliseconds;
+using daemon::sleepFor;
+
+/// A watch that says nothing for so long is asked anew, so that a connection
+/// that died in silence is noticed.
+constexpr milliseconds WatchWait{4'000};
+/// Servers write their entries all the time: changes are taken in together.
+constexpr milliseconds GatherTime{150};
+/// First pause before asking a store again that is away, and the longest.
+constexpr milliseconds FirstPause{100};
+constexpr milliseconds LongestPause{800};
+
+/// Tells whether the store answers, once for each change.
+class StoreHealth {
+public:
+  StoreHealth(World &world, std::string_view what) : W(world), What(what) {}
+
+  void answered() {
+    W.Servers.storeAnswered(W.now());
+    if (IsAway)
+      W.Log.write("store-regained", {{"what", What}});
+    IsAway = false;
+    Pause = FirstPause;
+  }
+
+  /// Returns how long to wait before the next call.
+  milliseconds failed(const base::Error &e) {
+    W.Servers.storeFailed(W.now());
+    if (!IsAway)
+      W.Log.write("store-lost", {{"what", What}, {"why", describe(e)}});
+    IsAway = true;
+    const milliseconds pause = Pause;
+    Pause = std::min(Pause * 2, LongestPause);
+    return pause;
+  }
+
+private:
+  World &W;
+  std::string_view What;
+  bool IsAway = false;
+  milliseconds Pause = FirstPause;
+};
+
+bool isHistoryGone(const base::Error &e) {
+  return e.Code == base::ErrorCode::NotFound;
+}
+
+void apply(World &world, const ServerChanges &changes) {
+  const base::Instant now = world.now();
+  for (const ServerChange &change : changes.Changes) {
+    if (change.Listed)
+      world.Servers.put(now, *change.Listed);
+    else
+      world.Servers.remove(now, change.Id);
+  }
+  world.ListFrom = now;
+}
+
+void applyAll(World &world, const ServerChanges &list) {
+  std::vector<ListedServer> servers;
+  for (const ServerChange &change : list.Changes)
+    if (change.Listed)
+      servers.push_back(*change.Listed);
+  world.Servers.replaceAll(world.now(), servers);
+  world.ListFrom = world.now();
+}
+
+/// Follows changes from a revision until the watch fails.
+asio::awaitable<base::Error> followConfig(World &world, StoreHealth &health,
+                                          std::uint64_t revision) {
+  for (;;) {
+    auto news = co_await world.From.WatchConfig(revision, WatchWait);
+    if (!ok(news))
+      co_return error(news);
+    health.answered();
+    revision = value(news).Revision;
+    if (!value(news).Text.empty())
+      world.takeConfig(std::move(value(news).Text), "store");
+  }
+}
+
+asio::awaitable<base::Error> followServers(World &world, StoreHealth &health,
+                                           std::uint64_t revision) {
+  for (;;) {
+    co_await sleepFor(GatherTime);
+    const auto news = co_await world.From.WatchServers(revision, WatchWait);
+    if (!ok(news))
+      co_return error(news);
+    health.answered();
+    revision = value(news).Revision;
+    apply(world, value(news));
+  }
+}
+
+} // namespace
+
+asio::awaitable<void> watchConfig(World &world) {
+  StoreHealth health(world, "config");
+  for (;;) {
+    auto read = co_await world.From.ReadConfig();
+    if (!ok(read)) {
+      const milliseconds pause = health.failed(error(read));
+      co_await sleepFor(pause);
+      continue;
+    }
+    health.answered();
+    if (!value(read).Text.empty())
+      world.takeConfig(std::move(value(read).Text), "store");
+    const base::Error e =
+        co_await followConfig(world, health, value(read).Revision);
+    if (!isHistoryGone(e)) {
+      const milliseconds pause = health.failed(e);
+      co_await sleepFor(pause);
+    }
+  }
+}
+
+asio::awaitable<void> watchServers(World &world) {
+  StoreHealth health(world, "servers");
+  for (;;) {
+    const auto read = co_await world.From.ReadServers();
+    if (!ok(read)) {
+      const milliseconds pause = health.failed(error(read));
+      co_await sleepFor(pause);
+      continue;
+    }
+    health.answered();
+    applyAll(world, value(read));
+    const base::Error e =
+        co_await followServers(world, health, value(read).Revision);
+    if (!isHistoryGone(e)) {
+      const milliseconds pause = health.failed(e);
+      co_await sleepFor(pause);
+    }
+  }
+}
+
+} // namespace drumlanding::gateway
--- /dev/null
+++ b/src/gateway/world.h
@@ -0,0 +1,84 @@
+/// World: what the parts of one gateway share. The gateway's VMs have one slow
+/// core, so all of it runs on one thread and needs no locks.
+#pragma once
+
+#include "drumlanding/base/metrics.h"
+#include "drumlanding/gateway/dialect.h"
+#include "drumlanding/gateway/directory.h"
+#include "drumlanding/gateway/event-log.h"
+#include "drumlanding/gateway/ledger.h"
+#include "drumlanding/gateway/peers.h"
+#include "drumlanding/gateway/placement.h"
+#include "drumlanding/gateway/retry-budget.h"
+#include "drumlanding/gateway/routes.h"
+#include "drumlanding/gateway/source.h"
+
+#include <boost/asio/io_context.hpp>
+#include <memory>
+#include <string>
+
+namespace drumlanding::gateway {
+
+namespace asio = boost::asio;
+
+struct GatewaySettings {
+  std::string Name;
+  /// The failure domain of this VM.
+  std::string Zone;
+  base::Endpoint Listen;
+  base::Endpoint ReadyListen;
+  base::Endpoint ControlListen;
+  base::Endpoint Store;
+  std::vector<base::Endpoint> Seeds;
+  RetryBudgetOptions Retries;
+  /// From the order to stop until the process is killed.
+  base::milliseconds Grace{8'000};
+};
+
+struct World {
+  World(asio::io_context &io, GatewaySettings settings, Dialect dialect,
+        Source source)
+      : Io(io), Settings(std::move(settings)), Words(std::move(dialect)),
+        From(std::move(source)), Log(Settings.Name),
+        Placing(Servers, Runs, Settings.Zone), Budget(Settings.Retries),
+        Random(base::secureRandom64()),
+        Others({Settings.Name, Settings.ControlListen, Incarnation,
+                Settings.Seeds}) {}
+
+  asio::io_context &Io;
+  GatewaySettings Settings;
+  Dialect Words;
+  Source From;
+  EventLog Log;
+  base::Metrics Metrics;
+  base::SystemClock Clock;
+  Directory Servers;
+  Ledger Runs;
+  Placement Placing;
+  RetryBudget Budget;
+  base::Random Random;
+  std::uint64_t Incarnation = base::secureRandom64();
+  Peers Others;
+  /// The config in force; null before the first.
+  RouteTablePointer Routes;
+  /// Its text, for peers that are behind.
+  std::string ConfigText;
+  /// When the list of servers was last heard from the store, by whomever.
+  base::Instant ListFrom{};
+  bool IsLeaving = false;
+  /// When the process was told to stop.
+  base::Instant LeavingSince{};
+  /// Requests being answered.
+  int Open = 0;
+  /// Tells the other gateways soon.
+  std::function<void()> TellPeers;
+
+  base::Instant now() const { return Clock.now().Steady; }
+  bool isReady() const {
+    return Routes && !Servers.isEmpty() && !IsLeaving;
+  }
+  /// Puts a config in force unless it is older than the one there is.
+  void takeConfig(std::string text, std::string_view from);
+};
+
+} // namespace drumlanding::gateway
--- /dev/null
+++ b/src/http/connection.cc
@@ -0,0 +1,153 @@
+#include "drumlanding/http/connection.h"
+
+#include "socket-options.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+namespace drumlanding::http {
+namespace {
+
+namespace beast = boost::beast;
+using asio::use_awaitable;
+using asio::ip::tcp;
+using base::Result;
+using boost::system::error_code;
+
+/// Most bytes of a body that one read returns.
+constexpr std::size_t PieceBytes = 16 << 10;
+/// Headers of a server's answer.
+constexpr std::uint32_t LargestHead = 32 << 10;
+
+base::Error failure(const base::Endpoint &to, const error_code &ec) {
+  const bool late = ec == beast::error::timeout;
+  return {late ? base::ErrorCode::TimedOut : base::ErrorCode::Unavailable,
+          base::toString(to), ec.message()};
+}
+
+std::string toText(const Request &request) {
+  std::string text = request.Method + " " + request.Target + " HTTP/1.1\r\n";
+  for (const Header &h : request.Headers)
+    text += h.Name + ": " + h.Value + "\r\n";
+  const bool hasBody = !request.Body.empty() || request.Method == "POST" ||
+                       request.Method == "PUT";
+  if (hasBody)
+    text += "Content-Length: " + std::to_string(request.Body.size()) + "\r\n";
+  return text + "\r\n" + request.Body;
+}
+
+class TcpConnection final
+    : public Connection,
+      public std::enable_shared_from_this<TcpConnection> {
+public:
+  TcpConnection(base::Endpoint to, beast::tcp_stream stream)
+      : To(std::move(to)), Stream(std::move(stream)) {}
+
+  void send(const Request &request) override {
+    IsHead = request.Method == "HEAD";
+    auto text = std::make_shared<std::string>(toText(request));
+    asio::async_write(
+        Stream.socket(), asio::buffer(*text),
+        [self = shared_from_this(), text](error_code, std::size_t) {
+          // A failed write shows as a failed read.
+        });
+  }
+
+  asio::awaitable<Result<AnswerHead>> readHead() override {
+    Parser.emplace();
+    Parser->header_limit(LargestHead);
+    Parser->body_limit(boost::none);
+    Parser->skip(IsHead);
+    error_code ec;
+    co_await beast::http::async_read_header(
+        Stream, Buffer, *Parser, asio::redirect_error(use_awaitable, ec));
+    if (ec)
+      co_return failure(To, ec);
+    AnswerHead head;
+    head.Status = static_cast<int>(Parser->get().result_int());
+    for (const auto &field : Parser->get().base())
+      head.Headers.push_back(
+          {std::string(field.name_string()), std::string(field.value())});
+    co_return head;
+  }
+
+  asio::awaitable<Result<std::string>> read() override {
+    std::string piece;
+    while (piece.empty() && !Parser->is_done()) {
+      piece.resize(PieceBytes);
+      Parser->get().body().data = piece.data();
+      Parser->get().body().size = piece.size();
+        error_code ec;
+      co_await beast::http::async_read_some(
+          Stream, Buffer, *Parser, asio::redirect_error(use_awaitable, ec));
+      piece.resize(piece.size() - Parser->get().body().size);
+      if (ec == beast::http::error::need_buffer)
+        ec = {};
+      if (ec && piece.empty())
+        co_return failure(To, ec);
+      // What came before the error counts; the next read meets it again.
+    }
+    co_return piece;
+  }
+
+  void close() override {
+    error_code ec;
+    Stream.socket().close(ec);
+  }
+
+private:
+  using BodyParser = beast::http::response_parser<beast::http::buffer_body>;
+
+  base::Endpoint To;
+  beast::tcp_stream Stream;
+  beast::flat_buffer Buffer;
+  std::optional<BodyParser> Parser;
+  bool IsHead = false;
+};
+
+} // namespace
+
+bool equalIgnoringCase(std::string_view a, std::string_view b) {
+  return beast::iequals(beast::string_view(a.data(), a.size()),
+                        beast::string_view(b.data(), b.size()));
+}
+
+std::string_view findHeader(const std::vector<Header> &headers,
+                            std::string_view name) {
+  const auto it =
+      std::find_if(headers.begin(), headers.end(), [&](const Header &h) {
+        return equalIgnoringCase(h.Name, name);
+      });
+  return it == headers.end() ? std::string_view() : it->Value;
+}
+
+std::string_view AnswerHead::header(std::string_view name) const {
+  return findHeader(Headers, name);
+}
+
+asio::awaitable<Result<std::shared_ptr<Connection>>>
+Connection::open(base::Endpoint to, base::milliseconds limit) {
+  beast::tcp_stream stream(co_await asio::this_coro::executor);
+  error_code ec;
+  const auto address = asio::ip::make_address(to.Address, ec);
+  if (ec)
+    co_return failure(to, ec);
+  stream.expires_after(limit);
+  co_await stream.async_connect(tcp::endpoint(address, to.Port),
+                                asio::redirect_error(use_awaitable, ec));
+  if (ec)
+    co_return failure(to, ec);
+  stream.expires_never();
+  setSocketOptions(stream.socket());
+  std::shared_ptr<Connection> made =
+      std::make_shared<TcpConnection>(std::move(to), std::move(stream));
+  co_return made;
+}
+
+} // namespace drumlanding::http
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -1,15 +1,24 @@
 #include "drumlanding/http/http.h"
 
+#include "drumlanding/http/connection.h"
+#include "socket-options.h"
+
+#include <atomic>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <fmt/format.h>
+#include <mutex>
+#include <sstream>
+#include <sys/socket.h>
+#include <unordered_set>
 
 namespace drumlanding::http {
 namespace {
@@ -19,13 +28,9 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-constexpr std::size_t LargestHead = 16 << 10;
 constexpr int ListenBacklog = 1024;
-
-bool equalIgnoringCase(std::string_view a, std::string_view b) {
-  return beast::iequals(beast::string_view(a.data(), a.size()),
-                        beast::string_view(b.data(), b.size()));
-}
+/// Enough for the head and body of most requests.
+constexpr std::size_t FirstReadBytes = 4 << 10;
 
 std::string formatted(const ServerEvent &event) {
   std::string text;
@@ -47,11 +52,31 @@
   return request;
 }
 
+/// True when the message names a transfer coding other than plain chunks, or
+/// both a length and chunks: its end could be read in two ways.
+template <typename Message> bool isAmbiguous(const Message &message) {
+  using beast::http::field;
+  const auto coding = message.find(field::transfer_encoding);
+  if (coding == message.end())
+    return false;
+  return message.version() < 11 || message.count(field::content_length) > 0 ||
+         message.count(field::transfer_encoding) > 1 ||
+         !beast::iequals(coding->value(), "chunked");
+}
+
 /// One connection's answers.
-class Connection final : public Exchange {
+class CallerConnection final : public Exchange {
 public:
-  explicit Connection(beast::tcp_stream &stream, bool keepAlive)
-      : Stream(stream), KeepAlive(keepAlive) {}
+  CallerConnection(beast::tcp_stream &stream, bool keepAlive,
+             base::milliseconds writeLimit)
+      : Stream(stream), KeepAlive(keepAlive), WriteLimit(writeLimit) {}
+  ~CallerConnection() override {
+    if (!IsWatching)
+      return;
+    // Only the watch can still be pending here.
+    error_code ec;
+    Stream.socket().cancel(ec);
+  }
 
   asio::awaitable<bool> send(Response response) override {
     beast::http::response<beast::http::string_body> message;
@@ -60,10 +85,11 @@
     if (!response.ContentType.empty())
       message.set(beast::http::field::content_type, response.ContentType);
     for (const Header &h : response.Headers)
-      message.set(h.Name, h.Value);
+      message.insert(h.Name, h.Value);
     message.keep_alive(KeepAlive);
     message.body() = std::move(response.Body);
     message.prepare_payload();
+    Stream.expires_after(WriteLimit);
     error_code ec;
     co_await beast::http::async_write(Stream, message,
                                       asio::redirect_error(use_awaitable, ec));
@@ -95,33 +121,82 @@
     co_return !ec;
   }
 
-  void onGone(std::function<void()> gone) override { Gone = std::move(gone); }
-  bool keepsAlive() const { return KeepAlive; }
+  asio::awaitable<bool> beginBody(int status,
+                                  std::vector<Header> headers) override {
+    beast::http::response<beast::http::empty_body> head;
+    head.version(11);
+    head.result(static_cast<unsigned>(status));
+    for (const Header &h : headers)
+      head.insert(h.Name, h.Value);
+    head.keep_alive(KeepAlive);
+    head.chunked(true);
+    IsBodyOpen = true;
+    std::ostringstream text;
+    text << head.base();
+    co_return co_await write(text.str());
+  }
+
+  asio::awaitable<bool> body(std::string bytes) override {
+    if (bytes.empty())
+      co_return true;
+    co_return co_await write(fmt::format("{:x}\r\n", bytes.size()) + bytes +
+                             "\r\n");
+  }
+
+  asio::awaitable<bool> endBody() override {
+    const bool isSent = co_await write("0\r\n\r\n");
+    IsBodyOpen = !isSent;
+    co_return isSent;
+  }
+
+  void closeAfter() override { KeepAlive = false; }
+  void onGone(std::function<void()> gone) override {
+    Gone = std::move(gone);
+    watch();
+  }
+  bool keepsAlive() const { return KeepAlive && !IsBodyOpen; }
 
 private:
   asio::awaitable<bool> write(std::string text) {
+    Stream.expires_after(WriteLimit);
     error_code ec;
     co_await asio::async_write(Stream, asio::buffer(text),
                                asio::redirect_error(use_awaitable, ec));
     co_return !ec;
   }
 
-  /// An event stream's caller says nothing more: a read ends when it leaves.
+  /// Notices when the caller leaves: its socket becomes readable with nothing
+  /// to read. Bytes of a next request end the watch.
   void watch() {
-    auto byte = std::make_shared<char>();
+    if (IsWatching)
+      return;
+    IsWatching = true;
     std::weak_ptr<bool> alive = Alive;
-    Stream.socket().async_read_some(
-        asio::buffer(byte.get(), 1),
-        [this, byte, alive](error_code ec, std::size_t) {
+    Stream.socket().async_wait(
+        tcp::socket::wait_read, [this, alive](error_code ec) {
           if (alive.expired())
             return;
-          if (ec && Gone)
+          IsWatching = false;
+          if (ec || !hasLeft())
+            return;
+          KeepAlive = false;
+          if (Gone)
             Gone();
         });
   }
 
+  bool hasLeft() {
+    char byte = 0;
+    const auto n = ::recv(Stream.socket().native_handle(), &byte, 1,
+                          MSG_PEEK | MSG_DONTWAIT);
+    return n == 0 || (n < 0 && errno != EAGAIN && errno != EINTR);
+  }
+
   beast::tcp_stream &Stream;
   bool KeepAlive;
+  base::milliseconds WriteLimit;
+  bool IsBodyOpen = false;
+  bool IsWatching = false;
   std::function<void()> Gone;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
@@ -129,10 +204,7 @@
 } // namespace
 
 std::string_view Request::header(std::string_view name) const {
-  for (const Header &h : Headers)
-    if (equalIgnoringCase(h.Name, name))
-      return h.Value;
-  return {};
+  return findHeader(Headers, name);
 }
 
 std::string_view Request::path() const {
@@ -161,17 +233,59 @@
       : Io(io), Acceptor(asio::make_strand(io)), Options(std::move(options)),
         Handle(std::move(handler)) {}
 
+  /// A connection as the server sees it between requests.
+  struct Open {
+    explicit Open(tcp::socket socket) : Stream(std::move(socket)) {}
+    beast::tcp_stream Stream;
+    bool IsIdle = true;
+  };
+  using OpenPointer = std::shared_ptr<Open>;
+  using Parser = beast::http::request_parser<beast::http::string_body>;
+
   asio::awaitable<void> accept();
-  asio::awaitable<void> serve(tcp::socket socket);
-  asio::awaitable<bool> serveOne(beast::tcp_stream &stream,
-                                 beast::flat_buffer &buffer);
+  asio::awaitable<void> serve(OpenPointer open);
+  asio::awaitable<bool> serveOne(Open &open, beast::flat_buffer &buffer);
+  asio::awaitable<bool> waitForBytes(Open &open, beast::flat_buffer &buffer,
+                                     base::milliseconds limit);
+  asio::awaitable<error_code> readRequest(Open &open,
+                                          beast::flat_buffer &buffer,
+                                          Parser &parser,
+                                          const CallerLimits &limits);
+  const Response *answerTo(const error_code &ec) const;
+  void remember(const OpenPointer &open);
+  void forget(const OpenPointer &open);
+  void closeIdle();
 
   asio::io_context &Io;
   tcp::acceptor Acceptor;
   ServerOptions Options;
   Handler Handle;
+  std::atomic<bool> ClosesAfterAnswers{false};
+  std::mutex Lock;
+  /// Guarded by Lock.
+  std::unordered_set<OpenPointer> Connections;
 };
 
+void Server::State::remember(const OpenPointer &open) {
+  const std::lock_guard guard(Lock);
+  Connections.insert(open);
+}
+
+void Server::State::forget(const OpenPointer &open) {
+  const std::lock_guard guard(Lock);
+  Connections.erase(open);
+}
+
+void Server::State::closeIdle() {
+  const std::lock_guard guard(Lock);
+  for (const OpenPointer &open : Connections)
+    asio::post(open->Stream.get_executor(), [open] {
+      error_code ec;
+      if (open->IsIdle)
+        open->Stream.socket().close(ec);
+    });
+}
+
 asio::awaitable<void> Server::State::accept() {
   const auto self = shared_from_this();
   while (Acceptor.is_open()) {
@@ -183,47 +297,112 @@
       co_return;
     if (ec)
       continue;
-    socket.set_option(tcp::no_delay(true), ec);
+    setSocketOptions(socket);
     auto executor = socket.get_executor();
-    asio::co_spawn(executor, serve(std::move(socket)), asio::detached);
+    auto open = std::make_shared<Open>(std::move(socket));
+    asio::co_spawn(executor, serve(std::move(open)), asio::detached);
   }
 }
 
-asio::awaitable<void> Server::State::serve(tcp::socket socket) {
+asio::awaitable<void> Server::State::serve(OpenPointer open) {
   const auto self = shared_from_this();
-  beast::tcp_stream stream(std::move(socket));
+  remember(open);
   beast::flat_buffer buffer;
-  while (co_await serveOne(stream, buffer)) {
+  while (co_await serveOne(*open, buffer)) {
   }
+  forget(open);
   error_code ec;
-  stream.socket().shutdown(tcp::socket::shutdown_both, ec);
+  open->Stream.socket().shutdown(tcp::socket::shutdown_both, ec);
 }
 
-asio::awaitable<bool> Server::State::serveOne(beast::tcp_stream &stream,
-                                              beast::flat_buffer &buffer) {
-  beast::http::request_parser<beast::http::string_body> parser;
-  parser.body_limit(Options.MaxBodyBytes);
-  parser.header_limit(LargestHead);
-  stream.expires_after(Options.IdleLimit);
+asio::awaitable<bool>
+Server::State::waitForBytes(Open &open, beast::flat_buffer &buffer,
+                            base::milliseconds limit) {
+  if (buffer.size() > 0)
+    co_return true;
+  open.IsIdle = true;
+  open.Stream.expires_after(limit);
   error_code ec;
-  co_await beast::http::async_read(stream, buffer, parser,
-                                   asio::redirect_error(use_awaitable, ec));
-  stream.expires_never();
-  Connection connection(stream,
-                        parser.is_header_done() && parser.get().keep_alive());
-  if (ec == beast::http::error::body_limit) {
-    co_await connection.send(Options.TooLarge);
-    co_return false;
+  const std::size_t n = co_await open.Stream.async_read_some(
+      buffer.prepare(FirstReadBytes), asio::redirect_error(use_awaitable, ec));
+  buffer.commit(n);
+  open.IsIdle = false;
+  co_return !ec;
+}
+
+asio::awaitable<error_code>
+Server::State::readRequest(Open &open, beast::flat_buffer &buffer,
+                           Parser &parser, const CallerLimits &limits) {
+  error_code ec;
+  parser.header_limit(limits.MaxHeaderBytes);
+  parser.body_limit(limits.MaxBodyBytes);
+  // A timeout of the stream itself would close it before the answer.
+  asio::steady_timer timer(open.Stream.get_executor(), limits.HeaderLimit);
+  bool isLate = false;
+  timer.async_wait([&open, &isLate](error_code aborted) {
+    if (aborted)
+      return;
+    isLate = true;
+    open.Stream.cancel();
+  });
+  open.Stream.expires_never();
+  co_await beast::http::async_read_header(
+      open.Stream, buffer, parser, asio::redirect_error(use_awaitable, ec));
+  timer.cancel();
+  if (ec)
+    co_return isLate ? error_code(beast::error::timeout) : ec;
+  if (isAmbiguous(parser.get()))
+    co_return beast::http::make_error_code(
+        beast::http::error::bad_transfer_encoding);
+  open.Stream.expires_after(limits.IdleLimit);
+  if (beast::iequals(parser.get()[beast::http::field::expect],
+                     "100-continue")) {
+    const std::string_view goOn = "HTTP/1.1 100 Continue\r\n\r\n";
+    co_await asio::async_write(open.Stream, asio::buffer(goOn),
+                               asio::redirect_error(use_awaitable, ec));
+    if (ec)
+      co_return ec;
   }
+  co_await beast::http::async_read(open.Stream, buffer, parser,
+                                   asio::redirect_error(use_awaitable, ec));
+  co_return ec;
+}
+
+/// Returns what a request that could not be read is answered with; none when
+/// nobody is there to read it.
+const Response *Server::State::answerTo(const error_code &ec) const {
+  using beast::http::error;
+  if (ec == error::body_limit)
+    return &Options.TooLarge;
+  if (ec == error::header_limit)
+    return &Options.HeaderTooLarge;
+  if (ec == beast::error::timeout)
+    return &Options.TooSlow;
   const bool isMalformed =
-      ec.category() ==
-      beast::http::make_error_code(beast::http::error::bad_method).category();
-  const bool isGone = ec == beast::http::error::end_of_stream ||
-                      ec == beast::http::error::partial_message;
-  if (ec && isMalformed && !isGone)
-    co_await connection.send(Options.Malformed);
-  if (ec)
+      ec.category() == make_error_code(error::bad_method).category();
+  const bool isGone =
+      ec == error::end_of_stream || ec == error::partial_message;
+  return isMalformed && !isGone ? &Options.Malformed : nullptr;
+}
+
+asio::awaitable<bool> Server::State::serveOne(Open &open,
+                                              beast::flat_buffer &buffer) {
+  const CallerLimits limits =
+      Options.CurrentLimits ? Options.CurrentLimits() : Options.Limits;
+  if (!co_await waitForBytes(open, buffer, limits.IdleLimit))
+    co_return false;
+  Parser parser;
+  const error_code ec = co_await readRequest(open, buffer, parser, limits);
+  const bool keepAlive = !ec && parser.get().keep_alive();
+  CallerConnection connection(open.Stream, keepAlive, limits.IdleLimit);
+  if (ec) {
+    if (const Response *answer = answerTo(ec))
+      co_await connection.send(*answer);
     co_return false;
+  }
+  open.Stream.expires_never();
+  if (ClosesAfterAnswers)
+    connection.closeAfter();
   co_await Handle(toRequest(parser.release()), connection);
   co_return connection.keepsAlive();
 }
@@ -259,6 +438,10 @@
   });
 }
 
+void Server::closeAfterAnswers() { S->ClosesAfterAnswers = true; }
+
+void Server::closeIdle() { S->closeIdle(); }
+
 Server::~Server() { stopAccepting(); }
 
 } // namespace drumlanding::http
--- /dev/null
+++ b/src/http/socket-options.cc
@@ -0,0 +1,32 @@
+#include "socket-options.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+namespace drumlanding::http {
+namespace {
+
+/// Seconds without traffic before a probe, between two probes, and probes.
+constexpr int ProbeAfter = 1;
+constexpr int ProbeEvery = 1;
+constexpr int ProbesLost = 3;
+
+void setTcpOption(int socket, int option, int value) {
+  ::setsockopt(socket, IPPROTO_TCP, option, &value, sizeof(value));
+}
+
+} // namespace
+
+void setSocketOptions(boost::asio::ip::tcp::socket &socket) {
+  using boost::asio::ip::tcp;
+  boost::system::error_code ec;
+  socket.set_option(tcp::no_delay(true), ec);
+  socket.set_option(tcp::socket::keep_alive(true), ec);
+  const int fd = socket.native_handle();
+  setTcpOption(fd, TCP_USER_TIMEOUT, static_cast<int>(SilentPeerLimit.count()));
+  setTcpOption(fd, TCP_KEEPIDLE, ProbeAfter);
+  setTcpOption(fd, TCP_KEEPINTVL, ProbeEvery);
+  setTcpOption(fd, TCP_KEEPCNT, ProbesLost);
+}
+
+} // namespace drumlanding::http
