--- a/include/drumlanding/daemon/daemon.h
+++ b/include/drumlanding/daemon/daemon.h
@@ -1,5 +1,5 @@
-/// Daemon: what every process of the system shares: common flags, worker
-/// threads, signals, and the pages for operators.
+/// Daemon: what entries and agents share: their flags, worker threads and
+/// signals.
 ///
 ///   auto settings = readDaemonSettings(argc, argv, "synopsis", extraFlags);
 ///   Runtime runtime(value(settings).WorkerThreads);
@@ -7,16 +7,13 @@
 ///   runtime.run();
 #pragma once
 
-#include "drumlanding/base/metrics.h"
-#include "drumlanding/base/result.h"
 #include "drumlanding/base/settings.h"
 #include "drumlanding/bundle/signature.h"
-#include "drumlanding/http/http.h"
+#include "drumlanding/daemon/process.h"
 #include "drumlanding/wire/link.h"
 
 #include <boost/asio/io_context.hpp>
 #include <functional>
-#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -25,20 +22,6 @@
 
 namespace asio = boost::asio;
 
-/// The settings that all processes have.
-struct ProcessSettings {
-  std::string Name;
-  std::string Place;
-  std::string FailureDomain;
-  int WorkerThreads = 2;
-};
-
-/// Reads and checks the flags of every process and `extra`, and sets up the
-/// logs.
-base::Result<ProcessSettings>
-readProcessSettings(int argc, char **argv, std::string_view synopsis,
-                    std::span<const std::string_view> extra);
-
 /// The settings of the daemons that speak to agents.
 struct DaemonSettings {
   std::string Name;
@@ -77,9 +60,4 @@
   asio::io_context Io;
 };
 
-/// Answers /metrics, /healthz and /readyz; none for any other path.
-std::optional<http::Response>
-operatorsPage(const http::Request &request, base::Metrics &metrics,
-              const std::function<bool()> &isReady);
-
 } // namespace drumlanding::daemon
--- a/src/gateway/forwarding.cc
+++ b/src/gateway/forwarding.cc
@@ -41,11 +41,12 @@
 
 void Forwarding::startLimit() {
   Limit.expires_at(Deadline + LimitSlack);
-  Limit.async_wait([this](boost::system::error_code ec) {
-    if (ec)
+  Limit.async_wait([self = weak_from_this()](boost::system::error_code ec) {
+    const ForwardingPointer f = self.lock();
+    if (ec || !f)
       return;
-    IsLate = true;
-    stop();
+    f->IsLate = true;
+    f->stop();
   });
 }
 
--- a/src/gateway/forwarding.h
+++ b/src/gateway/forwarding.h
@@ -17,7 +17,7 @@
 namespace drumlanding::gateway {
 
 /// A request that the config in force allows, and what has become of it.
-struct Forwarding {
+struct Forwarding : std::enable_shared_from_this<Forwarding> {
   Forwarding(World &world, CallerRequest request)
       : W(world), Request(std::move(request)), Limit(world.Io) {}
 
@@ -54,6 +54,8 @@
   void startLimit();
 };
 
+using ForwardingPointer = std::shared_ptr<Forwarding>;
+
 /// A whole answer of a server.
 struct WholeAnswer {
   ServerAnswer Head;
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -1,6 +1,6 @@
 #include "gossip.h"
 
-#include "drumlanding/daemon/daemon.h"
+#include "drumlanding/daemon/process.h"
 #include "drumlanding/daemon/sleep.h"
 #include "gateway.pb.h"
 
--- a/src/gateway/main.cc
+++ b/src/gateway/main.cc
@@ -4,7 +4,7 @@
 #include "platform/source.h"
 #include "shell.h"
 
-#include "drumlanding/daemon/daemon.h"
+#include "drumlanding/daemon/process.h"
 
 #include <boost/asio/signal_set.hpp>
 #include <gflags/gflags.h>
--- a/src/gateway/mover.h
+++ b/src/gateway/mover.h
@@ -14,10 +14,13 @@
 
 /// A generation that is running for a caller.
 struct StreamRun {
-  explicit StreamRun(Forwarding &f) : F(f), MoveEnded(f.W.Io) {
+  explicit StreamRun(ForwardingPointer f)
+      : Owner(std::move(f)), F(*Owner), MoveEnded(F.W.Io) {
     MoveEnded.expires_at(base::Instant::max());
   }
 
+  /// A move may outlast the request.
+  ForwardingPointer Owner;
   Forwarding &F;
   RunId Id = 0;
   std::string Server;
--- a/src/gateway/stream-forwarder.cc
+++ b/src/gateway/stream-forwarder.cc
@@ -17,7 +17,7 @@
 class StreamForwarder {
 public:
   StreamForwarder(Forwarding &f, http::Exchange &x, Mover &mover)
-      : F(f), W(f.W), X(x), Moves(mover), Run(std::make_shared<StreamRun>(f)) {
+      : F(f), W(f.W), X(x), Moves(mover), Run(std::make_shared<StreamRun>(f.shared_from_this())) {
     Run->Id = base::hash64(f.Request.AttemptId);
   }
 
