Move the generations of one engine one after another

Ruled out: a late notice (known after 11 ms). Change: every gateway works out the same order from the told runs and waits for its turn, until there is only just the time for its own copy.

--- a/include/drumlanding/gateway/ledger.h
+++ b/include/drumlanding/gateway/ledger.h
@@ -67,6 +67,8 @@
   void tick(base::Instant now);
 
   EngineLoad loadOf(std::string_view server) const;
+  /// All generations on a server, the other gateways' too, without copies.
+  std::vector<LedgerRun> runsOn(std::string_view server) const;
   /// This gateway's runs, to be told to the others.
   std::vector<LedgerRun> ownRuns() const;
 
@@ -76,6 +78,9 @@
     std::vector<LedgerRun> Runs;
   };
 
+  template <typename Visit>
+  void visit(std::string_view server, Visit visit) const;
+
   std::unordered_map<RunId, LedgerRun> Runs;
   std::map<std::string, Peer> Peers;
 };
--- a/src/gateway/ledger.cc
+++ b/src/gateway/ledger.cc
@@ -60,18 +60,32 @@
   });
 }
 
-EngineLoad Ledger::loadOf(std::string_view server) const {
-  EngineLoad load;
+template <typename Visit>
+void Ledger::visit(std::string_view server, Visit visit) const {
   for (const auto &[id, run] : Runs)
     if (run.Server == server)
-      add(load, run);
+      visit(run);
   for (const auto &[name, peer] : Peers)
     for (const LedgerRun &run : peer.Runs)
       if (run.Server == server)
-        add(load, run);
+        visit(run);
+}
+
+EngineLoad Ledger::loadOf(std::string_view server) const {
+  EngineLoad load;
+  visit(server, [&](const LedgerRun &run) { add(load, run); });
   return load;
 }
 
+std::vector<LedgerRun> Ledger::runsOn(std::string_view server) const {
+  std::vector<LedgerRun> runs;
+  visit(server, [&](const LedgerRun &run) {
+    if (!run.IsCopy)
+      runs.push_back(run);
+  });
+  return runs;
+}
+
 std::vector<LedgerRun> Ledger::ownRuns() const {
   std::vector<LedgerRun> runs;
   for (const auto &[id, run] : Runs)
--- /dev/null
+++ b/src/gateway/move-plan.cc
@@ -0,0 +1,54 @@
+#include "drumlanding/gateway/move-plan.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace drumlanding::gateway {
+namespace {
+
+/// Tokens that an engine makes for one generation within its shortest notice:
+/// 1.5 s at 10 ms a token.
+constexpr std::uint32_t TokensInNotice = 150;
+/// An output token is worth this many prompt tokens to the callers (from their
+/// sheet of what counts).
+constexpr std::uint64_t OutputWeight = 10;
+/// Copies between zones take twice as long as within one.
+constexpr int OtherZoneFactor = 2;
+constexpr double BitsPerByte = 8;
+
+/// Only what every gateway knows alike and what does not change decides.
+std::uint64_t worthOf(const LedgerRun &run) {
+  const std::uint64_t output = std::min(run.ExpectedTokens, run.MostTokens);
+  return run.PromptTokens + OutputWeight * output;
+}
+
+bool comesBefore(const LedgerRun &a, const LedgerRun &b) {
+  return std::make_tuple(mayOutlastNotice(a), worthOf(a), a.Id) >
+         std::make_tuple(mayOutlastNotice(b), worthOf(b), b.Id);
+}
+
+} // namespace
+
+bool mayOutlastNotice(const LedgerRun &run) {
+  return run.MostTokens > TokensInNotice;
+}
+
+bool isTurn(std::span<const LedgerRun> there, const LedgerRun &own) {
+  return std::none_of(
+      there.begin(), there.end(), [&](const LedgerRun &other) {
+        return other.Id != own.Id && comesBefore(other, own);
+      });
+}
+
+base::Duration copyTime(const EngineTraits &engine, std::uint64_t tokens,
+                        bool isOtherZone) {
+  if (engine.LinkMbps <= 0)
+    return base::Duration(0);
+  const double bits = static_cast<double>(tokens) *
+                      static_cast<double>(engine.BytesPerToken) * BitsPerByte;
+  const double us = bits / engine.LinkMbps * (isOtherZone ? OtherZoneFactor : 1);
+  return std::chrono::duration_cast<base::Duration>(
+      std::chrono::duration<double, std::micro>(us));
+}
+
+} // namespace drumlanding::gateway
--- a/src/gateway/mover.cc
+++ b/src/gateway/mover.cc
@@ -1,6 +1,7 @@
 #include "mover.h"
 
 #include "drumlanding/daemon/sleep.h"
+#include "drumlanding/gateway/move-plan.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -12,23 +13,27 @@
 using daemon::sleepFor;
 using Outcome = MoveAnswer::Outcome;
 
-/// A copy this short shows that the links are free: the last one, of what is
-/// made meanwhile, will be as short.
-constexpr milliseconds ShortCopy{60};
+/// A copy that takes this much longer than its bytes need has waited behind
+/// others, and so would the last one.
+constexpr milliseconds QueueSlack{60};
 /// Copies of a long prompt behind others take seconds.
 constexpr milliseconds CopyLimit{4'000};
 /// A run that has not begun has nothing to copy yet.
 constexpr milliseconds AskAgain{60};
 /// Leaving engines that say nothing else are gone this long after the notice,
-/// at the earliest (shortest notice seen on the sheets: 1.5 s, less its way).
-constexpr milliseconds ShortestNotice{1'400};
-/// The last copy starts this long before the engine is gone.
-constexpr milliseconds LastCopyMargin{250};
+/// at the earliest (shortest notice on the sheets: 1.54 s, less its way).
+constexpr milliseconds ShortestNotice{1'500};
+/// A copy must have ended this long before the engine is gone.
+constexpr milliseconds GoneMargin{60};
 /// Copies while the run goes on; the last needs no more than this many before.
 constexpr int MostCopies = 12;
 /// Destinations tried for one run.
 constexpr int MostDestinations = 3;
 constexpr milliseconds ReportLimit{300};
+/// Reports are half a second old: earlier ones do not know of the notice.
+constexpr milliseconds ReportAge{600};
+/// How often a run looks whether its turn has come.
+constexpr milliseconds TurnCheck{10};
 
 } // namespace
 
@@ -39,12 +44,21 @@
                                     static_cast<std::uint64_t>(stride));
 }
 
-Demand StreamRun::remainingDemand() const {
+LedgerRun StreamRun::ledgerRun() const {
   LedgerRun run;
+  run.Id = Id;
+  run.Server = Server;
+  run.PromptTokens = F.Request.PromptTokens;
   run.ExpectedTokens = F.Request.ExpectedTokens;
   run.MostTokens = F.Request.MostTokens;
   run.MadeTokens = madeTokens();
-  return {F.Request.PromptTokens + run.MadeTokens, expectedRemaining(run)};
+  run.HasBegun = run.MadeTokens > 0;
+  return run;
+}
+
+Demand StreamRun::remainingDemand() const {
+  const LedgerRun run = ledgerRun();
+  return {run.PromptTokens + run.MadeTokens, expectedRemaining(run)};
 }
 
 void Mover::add(const StreamRunPointer &run) { Running.push_back(run); }
@@ -78,6 +92,7 @@
 }
 
 asio::awaitable<void> Mover::askWhenGone(std::string id) {
+  co_await sleepFor(ReportAge);
   const Server *server = W.Servers.find(id);
   if (!server)
     co_return;
@@ -94,11 +109,36 @@
               {{"server", id}, {"ms", value(report).LeavesIn->count()}});
 }
 
-base::Instant Mover::lastCopyTime(const Server &source) const {
-  const Server *server = W.Servers.find(source.Listed.Id);
-  if (server && server->GoneAt != base::Instant{})
-    return server->GoneAt - LastCopyMargin;
-  return source.LeavingSince + ShortestNotice - LastCopyMargin;
+base::Instant Mover::goneAt(const Server &server) const {
+  const Server *known = W.Servers.find(server.Listed.Id);
+  if (known && known->GoneAt != base::Instant{})
+    return known->GoneAt;
+  return server.LeavingSince + ShortestNotice;
+}
+
+base::Duration Mover::copyTimeOf(const StreamRun &run, const Server &source,
+                                 const Server &destination) const {
+  const LedgerRun known = run.ledgerRun();
+  return copyTime(*run.F.TheService->Engine,
+                  known.PromptTokens + known.MadeTokens,
+                  source.Listed.Zone != destination.Listed.Zone);
+}
+
+/// Waits until the runs that come before it are gone, or until there is only
+/// just the time for its own copy.
+asio::awaitable<void> Mover::waitForTurn(StreamRunPointer run,
+                                         std::string sourceId) {
+  for (;;) {
+    const Server *source = W.Servers.find(sourceId);
+    if (!source || run->IsOver)
+      co_return;
+    const base::Instant latest =
+        goneAt(*source) - GoneMargin - copyTimeOf(*run, *source, *source);
+    const std::vector<LedgerRun> there = W.Runs.runsOn(sourceId);
+    if (W.now() >= latest || isTurn(there, run->ledgerRun()))
+      co_return;
+    co_await sleepFor(TurnCheck);
+  }
 }
 
 asio::awaitable<MoveAnswer> Mover::copy(StreamRunPointer run, Server source,
@@ -106,9 +146,18 @@
   const MoveOrder order{run->F.Request.AttemptId, destination.Listed.Address,
                         isLast};
   http::Request request = W.Words.ToMove(order);
+  const base::Instant asked = W.now();
   http::Fetched fetched = co_await http::fetch(source.Listed.Address,
                                                std::move(request), CopyLimit);
-  co_return W.Words.ReadMove(fetched.Answer);
+  const MoveAnswer answer = W.Words.ReadMove(fetched.Answer);
+  W.Log.write("move-copied", {{"request", run->F.Request.AttemptId},
+                              {"from", source.Listed.Id},
+                              {"to", destination.Listed.Id},
+                              {"last", isLast},
+                              {"outcome", static_cast<int>(answer.What)},
+                              {"events", answer.EventsMade},
+                              {"ms", base::toMs(W.now() - asked)}});
+  co_return answer;
 }
 
 /// Copies until the links are free or the time has come; false when the
@@ -116,14 +165,13 @@
 asio::awaitable<bool> Mover::copyWhileRunning(StreamRunPointer run,
                                               Server source,
                                               Server destination) {
+  base::Duration expected = copyTimeOf(*run, source, destination);
   for (int i = 0; i < MostCopies; ++i) {
     const base::Instant asked = W.now();
+    // With too little time for two copies, the last one must do alone.
+    if (asked + expected + expected + GoneMargin > goneAt(source))
+      co_return true;
     const MoveAnswer answer = co_await copy(run, source, destination, false);
-    const base::Instant now = W.now();
-    W.Log.write("move-copied", {{"request", run->F.Request.AttemptId},
-                                {"to", destination.Listed.Id},
-                                {"outcome", static_cast<int>(answer.What)},
-                                {"ms", base::toMs(now - asked)}});
     if (run->IsOver) {
       if (answer.What == Outcome::Copied)
         co_await freeCopy(source.Listed.Address, answer.Handle);
@@ -131,12 +179,12 @@
     }
     if (answer.What == Outcome::NoRoom || answer.What == Outcome::Failed)
       co_return false;
-    const bool isFree =
-        answer.What == Outcome::Copied && now - asked < ShortCopy;
-    if (isFree || (answer.What == Outcome::Copied &&
-                   now >= lastCopyTime(source)))
+    const bool isCopied = answer.What == Outcome::Copied;
+    if (isCopied && W.now() - asked < expected + QueueSlack)
       co_return true;
-    if (answer.What != Outcome::Copied)
+    if (isCopied)
+      expected = base::Duration(0);
+    else
       co_await sleepFor(AskAgain);
   }
   co_return true;
@@ -147,8 +195,26 @@
   co_await http::fetch(at, std::move(request), ReportLimit);
 }
 
+/// Returns true when the run has stopped, or is over, and false when another
+/// destination may be tried.
+asio::awaitable<bool> Mover::moveTo(StreamRunPointer run, Server source,
+                                    Server destination) {
+  const bool isCopied = co_await copyWhileRunning(run, source, destination);
+  if (run->IsOver || !isCopied)
+    co_return run->IsOver;
+  const MoveAnswer answer = co_await copy(run, source, destination, true);
+  if (answer.Handle.empty())
+    co_return false;
+  // When the last copy failed, the source has stopped and kept the memory.
+  const bool isThere = answer.What == Outcome::Copied;
+  run->Next = Continuation{source.Listed.Address, answer.Handle, 0};
+  run->NextServer = isThere ? destination.Listed.Id : source.Listed.Id;
+  co_return true;
+}
+
 asio::awaitable<void> Mover::move(StreamRunPointer run, std::string sourceId) {
   std::vector<std::string> tried{sourceId};
+  co_await waitForTurn(run, sourceId);
   for (int i = 0; i < MostDestinations && !run->IsOver; ++i) {
     const Server *source = W.Servers.find(sourceId);
     if (!source)
@@ -164,29 +230,11 @@
     W.Log.write("move-begun", {{"request", run->F.Request.AttemptId},
                                {"from", sourceId},
                                {"to", to.Listed.Id},
-                               {"cost_ms", choice.CostMs}});
-    const bool isCopied = co_await copyWhileRunning(run, from, to);
-    if (run->IsOver)
-      break;
-    if (!isCopied)
-      continue;
-    const base::Instant asked = W.now();
-    const MoveAnswer answer = co_await copy(run, from, to, true);
-    W.Log.write("move-stopped", {{"request", run->F.Request.AttemptId},
-                                 {"outcome", static_cast<int>(answer.What)},
-                                 {"events", answer.EventsMade},
-                                 {"ms", base::toMs(W.now() - asked)}});
-    if (answer.What == Outcome::Copied) {
-      run->Next = Continuation{from.Listed.Address, answer.Handle, 0};
-      run->NextServer = to.Listed.Id;
+                               {"cost_ms", choice.CostMs},
+                               {"ms_left", base::toMs(goneAt(from) - W.now())}});
+    const bool isDone = co_await moveTo(run, from, to);
+    if (isDone)
       break;
-    }
-    if (!answer.Handle.empty()) {
-      // The source has stopped and kept the memory: it goes on there.
-      run->Next = Continuation{from.Listed.Address, answer.Handle, 0};
-      run->NextServer = sourceId;
-      break;
-    }
   }
   run->IsMoving = false;
   run->MoveEnded.cancel();
--- a/src/gateway/mover.h
+++ b/src/gateway/mover.h
@@ -36,6 +36,7 @@
   asio::steady_timer MoveEnded;
 
   std::uint32_t madeTokens() const;
+  LedgerRun ledgerRun() const;
   Demand remainingDemand() const;
 };
 using StreamRunPointer = std::shared_ptr<StreamRun>;
@@ -53,13 +54,18 @@
 
 private:
   asio::awaitable<void> move(StreamRunPointer run, std::string source);
+  asio::awaitable<bool> moveTo(StreamRunPointer run, Server source,
+                               Server destination);
+  asio::awaitable<void> waitForTurn(StreamRunPointer run, std::string source);
   asio::awaitable<bool> copyWhileRunning(StreamRunPointer run, Server source,
                                          Server destination);
   asio::awaitable<MoveAnswer> copy(StreamRunPointer run, Server source,
                                    Server destination, bool isLast);
   asio::awaitable<void> askWhenGone(std::string server);
   asio::awaitable<void> freeCopy(base::Endpoint at, std::string handle);
-  base::Instant lastCopyTime(const Server &source) const;
+  base::Instant goneAt(const Server &server) const;
+  base::Duration copyTimeOf(const StreamRun &run, const Server &source,
+                            const Server &destination) const;
 
   World &W;
   std::list<StreamRunPointer> Running;
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -19,7 +19,7 @@
 /// Cost of another zone: bytes between zones are paid for.
 constexpr double OtherZoneMs = 20;
 /// Copies between zones take twice as long.
-constexpr double OtherZoneCopyMs = 200;
+constexpr double OtherZoneCopyMs = 400;
 
 bool wasTried(std::span<const std::string> tried, const std::string &id) {
   return std::find(tried.begin(), tried.end(), id) != tried.end();
--- a/src/gateway/stream-forwarder.cc
+++ b/src/gateway/stream-forwarder.cc
@@ -27,7 +27,7 @@
     if (isOpen)
       co_await passEvents();
     Moves.remove(Run);
-    W.Runs.end(Run->Id);
+    leaveLedger();
   }
 
 private:
@@ -38,6 +38,7 @@
   asio::awaitable<bool> recover();
   asio::awaitable<bool> continueAt(Server server, Continuation from);
   void enterLedger(const std::string &server);
+  void leaveLedger();
   void logEnd(std::string_view how);
 
   Forwarding &F;
@@ -52,21 +53,22 @@
 };
 
 void StreamForwarder::enterLedger(const std::string &server) {
-  LedgerRun run;
-  run.Id = Run->Id;
-  run.Server = server;
-  run.PromptTokens = F.Request.PromptTokens;
-  run.ExpectedTokens = F.Request.ExpectedTokens;
-  run.MostTokens = F.Request.MostTokens;
-  run.MadeTokens = Run->madeTokens();
-  run.HasBegun = run.MadeTokens > 0;
+  Run->Server = server;
+  LedgerRun run = Run->ledgerRun();
   run.Since = W.now();
   W.Runs.begin(run);
-  Run->Server = server;
   if (W.TellPeers)
     W.TellPeers();
 }
 
+void StreamForwarder::leaveLedger() {
+  W.Runs.end(Run->Id);
+  const Server *server = W.Servers.find(Run->Server);
+  // Other runs there wait for their turn to move.
+  if (server && server->IsLeaving && W.TellPeers)
+    W.TellPeers();
+}
+
 asio::awaitable<Attempt> StreamForwarder::tryOpen(Server server) {
   Attempt attempt;
   F.Connection = co_await connectTo(F, server);
