Place generations by the memory they will hold; meet replaced servers anew

Change: cost by forecast memory instead of by running generations; a 421 does not count as a send (that server has ended), marks it replaced, and the process beside it tells who is there now.

--- a/include/drumlanding/gateway/attempt-policy.h
+++ b/include/drumlanding/gateway/attempt-policy.h
@@ -15,6 +15,7 @@
   Served,      ///< A whole answer that is no failure.
   Failed,      ///< A whole answer that is the server's own failure: it ran.
   NotRun,      ///< The server says that it did not run the request.
+  OtherServer, ///< Another server answers there: the one meant has ended.
   Broken,      ///< It was sent, and no whole answer came.
   Unreachable, ///< Nothing was sent.
 };
@@ -29,7 +30,8 @@
 struct AttemptState {
   AttemptEnd End = AttemptEnd::Broken;
   RequestKind Kind = RequestKind::NonIdempotent;
-  /// Servers that the request was sent to, and the most that it may be.
+  /// Servers that the request was sent to, and the most that it may be. One
+  /// that had ended already does not count.
   int Sends = 0;
   int MaxSends = 1;
   /// An earlier attempt may have run.
@@ -48,6 +50,7 @@
     return Step::Deliver;
   const bool canRun = s.Kind == RequestKind::Idempotent ||
                       s.End == AttemptEnd::NotRun ||
+                      s.End == AttemptEnd::OtherServer ||
                       s.End == AttemptEnd::Unreachable;
   const bool isPossible = canRun && s.HasTime && s.HasServer;
   if (isPossible && s.Sends == 0)
@@ -56,8 +59,9 @@
     return Step::TryAnother;
   if (s.End == AttemptEnd::Failed)
     return Step::Deliver;
-  const bool isProven =
-      s.End == AttemptEnd::NotRun || s.End == AttemptEnd::Unreachable;
+  const bool isProven = s.End == AttemptEnd::NotRun ||
+                        s.End == AttemptEnd::OtherServer ||
+                        s.End == AttemptEnd::Unreachable;
   if (isProven && !s.MayHaveRun)
     return Step::RefuseNotRun;
   return Step::GiveUpMayHaveRun;
--- a/include/drumlanding/gateway/directory.h
+++ b/include/drumlanding/gateway/directory.h
@@ -39,6 +39,8 @@
   base::Instant GoneAt{};
   /// It said that it leaves, and gave no time: it serves as long as planned.
   bool IsPlannedLeave = false;
+  /// Another server answers at its address.
+  bool IsReplaced = false;
   /// The list lost it, perhaps only because the store was away.
   bool IsMissing = false;
   /// Recent failures as a part of recent outcomes; old ones fade.
@@ -73,9 +75,10 @@
   /// The server at an address says that it is leaving, and perhaps when.
   void noticeLeaving(base::Instant now, const base::Endpoint &address,
                      base::milliseconds leavesIn);
-  /// True when a listed server has this address.
+  /// True when a listed server has this address, and is not known to have been
+  /// replaced there.
   bool knowsAddress(const base::Endpoint &address) const;
-  /// Another server answered at its address.
+  /// Another server answered at its address: it has ended.
   void markReplaced(base::Instant now, std::string_view id);
 
   /// A call to the store failed, or one succeeded.
@@ -95,6 +98,8 @@
                                      std::string_view service) const;
   /// Every server that is not gone, for other gateways.
   std::vector<ListedServer> list() const;
+  /// True when the server at this address was found to be another one.
+  bool isReplacedAt(const base::Endpoint &address) const;
   bool isEmpty() const { return Servers.empty(); }
 
 private:
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -93,7 +93,8 @@
 void Directory::noticeLeaving(base::Instant now, const base::Endpoint &address,
                               base::milliseconds leavesIn) {
   for (auto &[id, server] : Servers) {
-    if (server.Listed.Address != address || server.IsMissing)
+    if (server.Listed.Address != address || server.IsMissing ||
+        server.IsReplaced)
       continue;
     if (leavesIn.count() > 0 && server.GoneAt == base::Instant{})
       server.GoneAt = now + leavesIn;
@@ -104,12 +105,24 @@
 
 bool Directory::knowsAddress(const base::Endpoint &address) const {
   return std::any_of(Servers.begin(), Servers.end(), [&](const auto &entry) {
-    return entry.second.Listed.Address == address && !entry.second.IsMissing;
+    const Server &server = entry.second;
+    return server.Listed.Address == address && !server.IsMissing &&
+           !server.IsReplaced;
   });
 }
 
 void Directory::markReplaced(base::Instant now, std::string_view id) {
-  markLeaving(now, id);
+  const auto it = Servers.find(id);
+  if (it == Servers.end())
+    return;
+  it->second.IsReplaced = true;
+  leave(now, it->second);
+}
+
+bool Directory::isReplacedAt(const base::Endpoint &address) const {
+  return std::any_of(Servers.begin(), Servers.end(), [&](const auto &entry) {
+    return entry.second.Listed.Address == address && entry.second.IsReplaced;
+  });
 }
 
 void Directory::storeFailed(base::Instant now) {
--- a/src/gateway/forwarding.cc
+++ b/src/gateway/forwarding.cc
@@ -114,6 +114,8 @@
 
 AttemptEnd endOf(const ServerAnswer &answer) {
   constexpr int FirstFailure = 500;
+  if (answer.IsOtherServer)
+    return AttemptEnd::OtherServer;
   if (answer.HasNotRun)
     return AttemptEnd::NotRun;
   // Without its stamp it is not the server's answer.
@@ -124,6 +126,8 @@
 }
 
 Step stepAfter(Forwarding &f, const Attempt &attempt, bool hasServer) {
+  if (attempt.End == AttemptEnd::OtherServer)
+    --f.Sends;
   AttemptState state;
   state.End = attempt.End;
   state.Kind = f.TheRoute->Kind;
@@ -187,11 +191,11 @@
   case AttemptEnd::Unreachable:
     outcome = ServerOutcome::Unreachable;
     break;
+  case AttemptEnd::OtherServer:
+    f.W.Servers.markReplaced(f.W.now(), server);
+    return;
   }
-  const base::Instant now = f.W.now();
-  f.W.Servers.note(now, server, outcome);
-  if (attempt.Answer && attempt.Answer->Head.IsOtherServer)
-    f.W.Servers.markReplaced(now, server);
+  f.W.Servers.note(f.W.now(), server, outcome);
 }
 
 } // namespace drumlanding::gateway
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -201,7 +201,8 @@
   if (notice.is_leaving())
     W.Servers.noticeLeaving(now, value(address),
                             milliseconds(notice.leaves_in_ms()));
-  else if (now - W.ListFrom > ListIsOld)
+  else if (now - W.ListFrom > ListIsOld ||
+           W.Servers.isReplacedAt(value(address)))
     asio::co_spawn(W.Io,
                    meetServer({{}, notice.service(), value(address),
                                notice.zone()}),
@@ -216,8 +217,8 @@
   Socket.send_to(asio::buffer(answer.SerializeAsString()), from, 0, ec);
 }
 
-/// While the store is away, servers that have just started are known only from
-/// the process beside them: the server itself says which one it is.
+/// While the store is away, or has not heard of a server's end, servers that
+/// have just started are known only from the process beside them: the server itself says which one it is.
 asio::awaitable<void> Gossip::meetServer(ListedServer found) {
   const Service *service =
       W.Routes ? W.Routes->config().service(found.Service) : nullptr;
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -7,11 +7,10 @@
 
 /// Time to read one prompt token, from the engines' data sheet (14 a ms).
 constexpr double ReadMsPerToken = 1.0 / 14;
-/// Each running generation slows the others' tokens: 0.12 ms a step on the data
-/// sheet, over the some 240 steps in which a new one runs beside it.
-constexpr double RunningMs = 30;
-/// A long prompt delays the tokens of everyone beside it.
-constexpr double DisturbPart = 0.25;
+/// Cost of each token that an engine will hold: memory is what an engine runs
+/// out of, and an engine with many generations cannot be left in time. With
+/// this figure one more long generation weighs as much as its prompt's wait.
+constexpr double HoldMsPerToken = 0.06;
 /// Above this part of its memory an engine begins to preempt.
 constexpr double MemoryLimit = 0.92;
 /// Cost of each token above that limit: a preempted generation is read anew.
@@ -32,7 +31,7 @@
                          std::string_view near) const {
   const double prompt = demand.PromptTokens;
   double cost = static_cast<double>(load.UnreadTokens) * ReadMsPerToken;
-  cost += load.Running * (RunningMs + prompt * ReadMsPerToken * DisturbPart);
+  cost += static_cast<double>(load.ForecastTokens) * HoldMsPerToken;
   cost += static_cast<double>(server.Listed.ColdLeft.count());
   const double room =
       MemoryLimit * static_cast<double>(engine.MemoryTokens) -
