--- a/include/drumlanding/gateway/attempt-policy.h
+++ b/include/drumlanding/gateway/attempt-policy.h
@@ -48,10 +48,9 @@
 Step nextStep(const AttemptState &s, TakeRetry takeRetry) {
   if (s.End == AttemptEnd::Served)
     return Step::Deliver;
-  const bool canRun = s.Kind == RequestKind::Idempotent ||
-                      s.End == AttemptEnd::NotRun ||
-                      s.End == AttemptEnd::OtherServer ||
-                      s.End == AttemptEnd::Unreachable;
+  const bool canRun =
+      s.Kind == RequestKind::Idempotent || s.End == AttemptEnd::NotRun ||
+      s.End == AttemptEnd::OtherServer || s.End == AttemptEnd::Unreachable;
   const bool isPossible = canRun && s.HasTime && s.HasServer;
   if (isPossible && s.Sends == 0)
     return Step::TryAnother;
--- a/include/drumlanding/gateway/move-plan.h
+++ b/include/drumlanding/gateway/move-plan.h
@@ -1,5 +1,5 @@
-/// Move plan: in which order the generations of an engine that leaves are moved,
-/// and when a copy must start.
+/// Move plan: in which order the generations of an engine that leaves are
+/// moved, and when a copy must start.
 ///
 ///   if (isTurn(ledger.runsOn(server), own)) ...
 ///   base::Duration t = copyTime(engine, tokens, isOtherZone);
--- a/include/drumlanding/gateway/source.h
+++ b/include/drumlanding/gateway/source.h
@@ -40,8 +40,7 @@
 /// `wait`. Their error is NotFound when that part of the history is gone: the
 /// whole must be read again.
 struct Source {
-  template <typename T>
-  using Answer = boost::asio::awaitable<base::Result<T>>;
+  template <typename T> using Answer = boost::asio::awaitable<base::Result<T>>;
 
   std::function<Answer<ConfigText>()> ReadConfig;
   std::function<Answer<ConfigText>(std::uint64_t since,
--- a/include/drumlanding/http/http.h
+++ b/include/drumlanding/http/http.h
@@ -97,7 +97,8 @@
   std::function<CallerLimits()> CurrentLimits;
   /// What an oversized body is answered with.
   Response TooLarge{413, "text/plain", "The body is too large.\n", {}};
-  Response HeaderTooLarge{431, "text/plain", "The headers are too large.\n", {}};
+  Response HeaderTooLarge{
+      431, "text/plain", "The headers are too large.\n", {}};
   Response TooSlow{408, "text/plain", "The request came too slowly.\n", {}};
   Response Malformed{400, "text/plain", "The request is malformed.\n", {}};
 };
--- a/src/daemon/daemon.cc
+++ b/src/daemon/daemon.cc
@@ -54,10 +54,13 @@
       bundle::parseKeys("--approver_keys", FLAGS_approver_keys);
   if (!ok(approvers))
     return error(approvers);
-  return DaemonSettings{
-      value(process).Name, value(process).Place, value(process).FailureDomain,
-      value(control),      {value(key)}, {value(authors), value(approvers)},
-      value(process).WorkerThreads};
+  return DaemonSettings{value(process).Name,
+                        value(process).Place,
+                        value(process).FailureDomain,
+                        value(control),
+                        {value(key)},
+                        {value(authors), value(approvers)},
+                        value(process).WorkerThreads};
 }
 
 void Runtime::spawn(asio::awaitable<void> work) {
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -52,9 +52,8 @@
 }
 
 bool Directory::isGraceTime(base::Instant now) const {
-  return IsStoreAway ||
-         (StoreBackAt != base::Instant{} &&
-          now - StoreBackAt < GraceAfterReturn);
+  return IsStoreAway || (StoreBackAt != base::Instant{} &&
+                         now - StoreBackAt < GraceAfterReturn);
 }
 
 void Directory::remove(base::Instant now, std::string_view id) {
@@ -186,8 +185,8 @@
   return it == Servers.end() ? nullptr : &it->second;
 }
 
-std::vector<const Server *>
-Directory::usable(base::Instant now, std::string_view service) const {
+std::vector<const Server *> Directory::usable(base::Instant now,
+                                              std::string_view service) const {
   std::vector<const Server *> well;
   std::vector<const Server *> avoided;
   for (const auto &[id, server] : Servers) {
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -29,8 +29,8 @@
 } // namespace
 
 asio::awaitable<void> Forwarder::serve(http::Request http, http::Exchange &x) {
-  auto f = std::make_shared<Forwarding>(
-      W, W.Words.ReadRequest(std::move(http)));
+  auto f =
+      std::make_shared<Forwarding>(W, W.Words.ReadRequest(std::move(http)));
   f->ReceivedAt = W.now();
   if (W.IsLeaving)
     x.closeAfter();
@@ -76,9 +76,8 @@
       f.Routes->config().service(chooseService(*f.TheRoute, W.Random));
   if (!f.TheService)
     return refusal(f, Verdict::NotRun, Reason::UnknownService);
-  const base::milliseconds patience =
-      std::min(f.Request.Patience.value_or(f.TheRoute->Timeout),
-               f.TheRoute->Timeout);
+  const base::milliseconds patience = std::min(
+      f.Request.Patience.value_or(f.TheRoute->Timeout), f.TheRoute->Timeout);
   f.Deadline = f.ReceivedAt + patience;
   // The stop would cut it: another gateway can carry it to its end.
   if (W.IsLeaving && f.ReceivedAt + expectedTime(f) > W.stopAt())
@@ -153,8 +152,9 @@
     else if (step == Step::RefuseNotRun)
       response = refusal(f, Verdict::NotRun, Reason::Overloaded);
     else
-      response = refusal(f, Verdict::MayHaveRun,
-                         f.IsLate ? Reason::Expired : Reason::BackendServerLost);
+      response =
+          refusal(f, Verdict::MayHaveRun,
+                  f.IsLate ? Reason::Expired : Reason::BackendServerLost);
     logEnd(f, response.Status, attempt.Why);
     co_await x.send(std::move(response));
     co_return;
@@ -162,14 +162,13 @@
 }
 
 void Forwarder::logEnd(const Forwarding &f, int status, std::string_view why) {
-  W.Log.write(
-      "request-ended",
-      {{"request", f.Request.AttemptId},
-       {"route", f.TheRoute ? std::string_view(f.TheRoute->Name) : ""},
-       {"status", status},
-       {"why", why},
-       {"sends", f.Sends},
-       {"ms", base::toMs(W.now() - f.ReceivedAt)}});
+  W.Log.write("request-ended",
+              {{"request", f.Request.AttemptId},
+               {"route", f.TheRoute ? std::string_view(f.TheRoute->Name) : ""},
+               {"status", status},
+               {"why", why},
+               {"sends", f.Sends},
+               {"ms", base::toMs(W.now() - f.ReceivedAt)}});
 }
 
 } // namespace drumlanding::gateway
--- a/src/gateway/forwarding.cc
+++ b/src/gateway/forwarding.cc
@@ -64,8 +64,7 @@
                                                              Server server) {
   const milliseconds limit =
       std::clamp(f.timeLeft(), milliseconds(1), ConnectLimit);
-  auto opened =
-      co_await http::Connection::open(server.Listed.Address, limit);
+  auto opened = co_await http::Connection::open(server.Listed.Address, limit);
   if (!ok(opened))
     co_return nullptr;
   co_return value(opened);
@@ -158,7 +157,8 @@
   if (verdict == Verdict::NotRun)
     response.Headers.push_back(
         {"Retry-After",
-         fmt::format("{:.2f}", std::chrono::duration<double>(retryAfter(why)).count())});
+         fmt::format("{:.2f}",
+                     std::chrono::duration<double>(retryAfter(why)).count())});
   response.Headers.push_back(
       {"Drumlanding-Verdict", std::string(toString(verdict))});
   f.W.Words.MarkAnswer(f.Request, response);
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -100,8 +100,7 @@
 
 } // namespace
 
-Gossip::Gossip(World &world)
-    : W(world), Socket(world.Io), NextTell(world.Io) {}
+Gossip::Gossip(World &world) : W(world), Socket(world.Io), NextTell(world.Io) {}
 
 base::Result<std::unique_ptr<Gossip>> Gossip::start(World &world) {
   std::unique_ptr<Gossip> gossip(new Gossip(world));
@@ -115,11 +114,11 @@
     return base::Error{base::ErrorCode::Unavailable,
                        base::toString(world.Settings.ControlListen),
                        ec.message()};
-  auto control = http::Server::listen(
-      world.Io, world.Settings.ControlListen, {},
-      [&g](http::Request r, http::Exchange &x) {
-        return g.serve(std::move(r), x);
-      });
+  auto control =
+      http::Server::listen(world.Io, world.Settings.ControlListen, {},
+                           [&g](http::Request r, http::Exchange &x) {
+                             return g.serve(std::move(r), x);
+                           });
   if (!ok(control))
     return error(control);
   g.Control = std::move(value(control));
@@ -139,8 +138,7 @@
     udp::endpoint from;
     error_code ec;
     const std::size_t n = co_await Socket.async_receive_from(
-        asio::buffer(buf), from,
-        asio::redirect_error(asio::use_awaitable, ec));
+        asio::buffer(buf), from, asio::redirect_error(asio::use_awaitable, ec));
     if (ec == asio::error::operation_aborted)
       co_return;
     if (!ec)
@@ -168,9 +166,9 @@
   message.set_address(base::toString(W.Settings.ControlListen));
   message.set_incarnation(W.Incarnation);
   message.set_config_version(W.Routes ? W.Routes->config().Version : 0);
-  const base::Instant from =
-      W.ListFrom == base::Instant{} ? base::Instant(base::Duration{0})
-                                    : W.ListFrom;
+  const base::Instant from = W.ListFrom == base::Instant{}
+                                 ? base::Instant(base::Duration{0})
+                                 : W.ListFrom;
   message.set_list_age_ms(static_cast<std::uint64_t>(base::toMs(now - from)));
   message.set_is_last(isLast);
   for (const Peer &peer : W.Others.live(now))
@@ -203,10 +201,9 @@
                             milliseconds(notice.leaves_in_ms()));
   else if (now - W.ListFrom > ListIsOld ||
            W.Servers.isReplacedAt(value(address)))
-    asio::co_spawn(W.Io,
-                   meetServer({{}, notice.service(), value(address),
-                               notice.zone()}),
-                   asio::detached);
+    asio::co_spawn(
+        W.Io, meetServer({{}, notice.service(), value(address), notice.zone()}),
+        asio::detached);
   wire::Gossip answer;
   answer.set_name(W.Settings.Name);
   answer.set_address(base::toString(W.Settings.ControlListen));
@@ -218,7 +215,8 @@
 }
 
 /// While the store is away, or has not heard of a server's end, servers that
-/// have just started are known only from the process beside them: the server itself says which one it is.
+/// have just started are known only from the process beside them: the server
+/// itself says which one it is.
 asio::awaitable<void> Gossip::meetServer(ListedServer found) {
   const Service *service =
       W.Routes ? W.Routes->config().service(found.Service) : nullptr;
--- a/src/gateway/main.cc
+++ b/src/gateway/main.cc
@@ -24,10 +24,11 @@
 DEFINE_double(retry_extra, 0,
               "[decisions] second sends that all gateways together may add in "
               "a window, 0 or more");
-DEFINE_double(retry_window_s, 10, "[decisions] that window in seconds, 1 to 60");
+DEFINE_double(retry_window_s, 10,
+              "[decisions] that window in seconds, 1 to 60");
 DEFINE_int32(drain_ms, 2000,
-              "[decisions] time that a server serves after it said that it "
-              "leaves, in ms, 100 to 600000");
+             "[decisions] time that a server serves after it said that it "
+             "leaves, in ms, 100 to 600000");
 DEFINE_double(grace_s, 8,
               "[process] seconds from the order to stop to the kill, 1 to 600");
 
@@ -36,9 +37,9 @@
 using namespace drumlanding;
 
 constexpr std::string_view Flags[] = {
-    "node_file", "listen",      "ready_listen", "gateway_listen", "platform", "seeds",
-    "retry_part",  "retry_extra",  "retry_window_s", "drain_ms",
-    "grace_s"};
+    "node_file",      "listen",   "ready_listen", "gateway_listen",
+    "platform",       "seeds",    "retry_part",   "retry_extra",
+    "retry_window_s", "drain_ms", "grace_s"};
 
 base::milliseconds toMilliseconds(double seconds) {
   return base::milliseconds(static_cast<std::int64_t>(seconds * 1000));
@@ -104,9 +105,10 @@
     base::exitOnBadSettings(error(settings));
   boost::asio::io_context io(1);
   const platform::Store store(value(settings).Store);
-  auto shell = gateway::Shell::start(io, value(settings),
-                                     platform::makeDialect(),
-                                     platform::makeSource(store));
+  const base::SystemClock clock;
+  auto shell =
+      gateway::Shell::start(io, clock, value(settings), platform::makeDialect(),
+                            platform::makeSource(store));
   if (!ok(shell))
     base::exitOnBadSettings(error(shell));
   boost::asio::signal_set stop(io, SIGTERM, SIGINT);
--- a/src/gateway/move-plan.cc
+++ b/src/gateway/move-plan.cc
@@ -34,10 +34,9 @@
 }
 
 bool isTurn(std::span<const LedgerRun> there, const LedgerRun &own) {
-  return std::none_of(
-      there.begin(), there.end(), [&](const LedgerRun &other) {
-        return other.Id != own.Id && comesBefore(other, own);
-      });
+  return std::none_of(there.begin(), there.end(), [&](const LedgerRun &other) {
+    return other.Id != own.Id && comesBefore(other, own);
+  });
 }
 
 base::Duration copyTime(const EngineTraits &engine, std::uint64_t tokens,
@@ -46,7 +45,8 @@
     return base::Duration(0);
   const double bits = static_cast<double>(tokens) *
                       static_cast<double>(engine.BytesPerToken) * BitsPerByte;
-  const double us = bits / engine.LinkMbps * (isOtherZone ? OtherZoneFactor : 1);
+  const double us =
+      bits / engine.LinkMbps * (isOtherZone ? OtherZoneFactor : 1);
   return std::chrono::duration_cast<base::Duration>(
       std::chrono::duration<double, std::micro>(us));
 }
--- a/src/gateway/mover.cc
+++ b/src/gateway/mover.cc
@@ -40,8 +40,8 @@
 } // namespace
 
 std::uint32_t StreamRun::madeTokens() const {
-  const int stride = F.TheService->Engine ? F.TheService->Engine->TokensPerEvent
-                                          : 1;
+  const int stride =
+      F.TheService->Engine ? F.TheService->Engine->TokensPerEvent : 1;
   return static_cast<std::uint32_t>(Events.events() *
                                     static_cast<std::uint64_t>(stride));
 }
@@ -109,7 +109,7 @@
                                          std::string sourceId) {
   std::size_t before = 0;
   base::Instant changedAt = W.now();
-  while (!run->IsOver && W.Servers.find(sourceId)) {
+  while (run->isOn(sourceId) && W.Servers.find(sourceId)) {
     const std::vector<LedgerRun> there = W.Runs.runsOn(sourceId);
     if (isTurn(there, run->ledgerRun()))
       co_return;
@@ -154,7 +154,7 @@
     if (asked + expected + LastCopyTime > goneAt(source))
       co_return true;
     const MoveAnswer answer = co_await copy(run, source, destination, false);
-    if (run->IsOver) {
+    if (!run->isOn(source.Listed.Id)) {
       if (answer.What == Outcome::Copied)
         co_await freeCopy(source.Listed.Address, answer.Handle);
       co_return false;
@@ -182,15 +182,16 @@
 asio::awaitable<bool> Mover::moveTo(StreamRunPointer run, Server source,
                                     Server destination) {
   const bool isCopied = co_await copyWhileRunning(run, source, destination);
-  if (run->IsOver || !isCopied)
-    co_return run->IsOver;
+  const bool isThere = run->isOn(source.Listed.Id);
+  if (!isThere || !isCopied)
+    co_return !isThere;
   const MoveAnswer answer = co_await copy(run, source, destination, true);
   if (answer.Handle.empty())
     co_return false;
   // When the last copy failed, the source has stopped and kept the memory.
-  const bool isThere = answer.What == Outcome::Copied;
+  const bool isComplete = answer.What == Outcome::Copied;
   run->Next = Continuation{source.Listed.Address, answer.Handle, 0};
-  run->NextServer = isThere ? destination.Listed.Id : source.Listed.Id;
+  run->NextServer = isComplete ? destination.Listed.Id : source.Listed.Id;
   // The next run's turn comes with this news.
   LedgerRun moved = run->ledgerRun();
   moved.Server = run->NextServer;
@@ -202,29 +203,33 @@
 asio::awaitable<void> Mover::move(StreamRunPointer run, std::string sourceId) {
   std::vector<std::string> tried{sourceId};
   co_await waitForTurn(run, sourceId);
-  for (int i = 0; i < MostDestinations && !run->IsOver; ++i) {
+  for (int i = 0; i < MostDestinations && run->isOn(sourceId); ++i) {
     const Server *source = W.Servers.find(sourceId);
     if (!source)
       break;
     const Server from = *source;
-    const Choice choice =
-        W.Placing.forGeneration(W.now(), *run->F.TheService,
-                                run->remainingDemand(), tried, from.Listed.Zone);
+    const Choice choice = W.Placing.forGeneration(W.now(), *run->F.TheService,
+                                                  run->remainingDemand(), tried,
+                                                  from.Listed.Zone);
     if (!choice.Chosen)
       break;
     const Server to = *choice.Chosen;
     tried.push_back(to.Listed.Id);
-    W.Log.write("move-begun", {{"request", run->F.Request.AttemptId},
-                               {"from", sourceId},
-                               {"to", to.Listed.Id},
-                               {"cost_ms", choice.CostMs},
-                               {"ms_left", base::toMs(goneAt(from) - W.now())}});
+    W.Log.write("move-begun",
+                {{"request", run->F.Request.AttemptId},
+                 {"from", sourceId},
+                 {"to", to.Listed.Id},
+                 {"cost_ms", choice.CostMs},
+                 {"ms_left", base::toMs(goneAt(from) - W.now())}});
     const bool isDone = co_await moveTo(run, from, to);
     if (isDone)
       break;
   }
   run->IsMoving = false;
   run->MoveEnded.cancel();
+  // It may have come to another server that leaves meanwhile.
+  if (!run->isOn(sourceId))
+    moveIfLeaving(run);
 }
 
 } // namespace drumlanding::gateway
--- a/src/gateway/mover.h
+++ b/src/gateway/mover.h
@@ -35,6 +35,10 @@
   /// Cancelled when a move ends.
   asio::steady_timer MoveEnded;
 
+  /// True while it runs on that server, as far as is known.
+  bool isOn(const std::string &server) const {
+    return !IsOver && Server == server;
+  }
   std::uint32_t madeTokens() const;
   LedgerRun ledgerRun() const;
   Demand remainingDemand() const;
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -60,9 +60,8 @@
   for (auto it = Contacts.begin(); it != Contacts.end();) {
     Contact &contact = it->second;
     const Peer &peer = contact.Known;
-    const bool isSeed =
-        std::find(Options.Seeds.begin(), Options.Seeds.end(), peer.Address) !=
-        Options.Seeds.end();
+    const bool isSeed = std::find(Options.Seeds.begin(), Options.Seeds.end(),
+                                  peer.Address) != Options.Seeds.end();
     const base::Instant last = std::max(peer.HeardAt, contact.AddedAt);
     if (!isSeed && now - last > DropAfter) {
       it = Contacts.erase(it);
@@ -87,8 +86,8 @@
 }
 
 int Peers::gateways(base::Instant now) const {
-  const auto n = std::count_if(
-      Contacts.begin(), Contacts.end(), [&](const auto &entry) {
+  const auto n =
+      std::count_if(Contacts.begin(), Contacts.end(), [&](const auto &entry) {
         const Peer &peer = entry.second.Known;
         return peer.HeardAt != base::Instant{} &&
                now - peer.HeardAt < CountTime;
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -33,9 +33,9 @@
   double cost = static_cast<double>(load.UnreadTokens) * ReadMsPerToken;
   cost += static_cast<double>(load.ForecastTokens) * HoldMsPerToken;
   cost += static_cast<double>(server.Listed.ColdLeft.count());
-  const double room =
-      MemoryLimit * static_cast<double>(engine.MemoryTokens) -
-      static_cast<double>(load.ForecastTokens) - prompt - demand.ExpectedTokens;
+  const double room = MemoryLimit * static_cast<double>(engine.MemoryTokens) -
+                      static_cast<double>(load.ForecastTokens) - prompt -
+                      demand.ExpectedTokens;
   if (room < 0)
     cost -= room * OverflowMsPerToken;
   if (near.empty())
--- a/src/gateway/shell.cc
+++ b/src/gateway/shell.cc
@@ -20,9 +20,9 @@
 
 } // namespace
 
-Shell::Shell(asio::io_context &io, GatewaySettings settings, Dialect dialect,
-             Source source)
-    : W(io, std::move(settings), std::move(dialect), std::move(source)),
+Shell::Shell(asio::io_context &io, const base::Clock &clock,
+             GatewaySettings settings, Dialect dialect, Source source)
+    : W(io, clock, std::move(settings), std::move(dialect), std::move(source)),
       Moves(W), Requests(W, Moves) {
   W.Servers.OnLeaving = [this](const Server &server) {
     Moves.leave(server);
@@ -37,13 +37,11 @@
   };
 }
 
-base::Result<std::unique_ptr<Shell>> Shell::start(asio::io_context &io,
-                                                  GatewaySettings settings,
-                                                  Dialect dialect,
-                                                  Source source) {
-  std::unique_ptr<Shell> shell(new Shell(io, std::move(settings),
-                                         std::move(dialect),
-                                         std::move(source)));
+base::Result<std::unique_ptr<Shell>>
+Shell::start(asio::io_context &io, const base::Clock &clock,
+             GatewaySettings settings, Dialect dialect, Source source) {
+  std::unique_ptr<Shell> shell(new Shell(
+      io, clock, std::move(settings), std::move(dialect), std::move(source)));
   if (auto r = shell->listen(); !ok(r))
     return error(r);
   asio::co_spawn(io, watchConfig(shell->W), asio::detached);
@@ -62,19 +60,18 @@
   options.CurrentLimits = [this] {
     return W.Routes ? W.Routes->config().Limits : http::CallerLimits();
   };
-  auto callers = http::Server::listen(
-      W.Io, W.Settings.Listen, std::move(options),
-      [this](http::Request r, http::Exchange &x) {
-        return Requests.serve(std::move(r), x);
-      });
+  auto callers =
+      http::Server::listen(W.Io, W.Settings.Listen, std::move(options),
+                           [this](http::Request r, http::Exchange &x) {
+                             return Requests.serve(std::move(r), x);
+                           });
   if (!ok(callers))
     return error(callers);
   Callers = std::move(value(callers));
-  auto ready = http::Server::listen(
-      W.Io, W.Settings.ReadyListen, {},
-      [this](http::Request r, http::Exchange &x) {
-        return answerReady(std::move(r), x);
-      });
+  auto ready = http::Server::listen(W.Io, W.Settings.ReadyListen, {},
+                                    [this](http::Request r, http::Exchange &x) {
+                                      return answerReady(std::move(r), x);
+                                    });
   if (!ok(ready))
     return error(ready);
   Ready = std::move(value(ready));
--- a/src/gateway/shell.h
+++ b/src/gateway/shell.h
@@ -11,15 +11,18 @@
 class Shell {
 public:
   static base::Result<std::unique_ptr<Shell>>
-  start(asio::io_context &io, GatewaySettings settings, Dialect dialect,
-        Source source);
+  start(asio::io_context &io, const base::Clock &clock,
+        GatewaySettings settings, Dialect dialect, Source source);
 
   /// Takes no new callers, lets requests end, and stops the context.
   void leave();
 
+  /// What this gateway knows and does, for tests.
+  const World &world() const { return W; }
+
 private:
-  Shell(asio::io_context &io, GatewaySettings settings, Dialect dialect,
-        Source source);
+  Shell(asio::io_context &io, const base::Clock &clock,
+        GatewaySettings settings, Dialect dialect, Source source);
   base::Result<base::Done> listen();
   asio::awaitable<void> answerReady(http::Request request, http::Exchange &x);
   asio::awaitable<void> windDown();
--- a/src/gateway/stream-forwarder.cc
+++ b/src/gateway/stream-forwarder.cc
@@ -17,7 +17,8 @@
 class StreamForwarder {
 public:
   StreamForwarder(Forwarding &f, http::Exchange &x, Mover &mover)
-      : F(f), W(f.W), X(x), Moves(mover), Run(std::make_shared<StreamRun>(f.shared_from_this())) {
+      : F(f), W(f.W), X(x), Moves(mover),
+        Run(std::make_shared<StreamRun>(f.shared_from_this())) {
     Run->Id = base::hash64(f.Request.AttemptId);
   }
 
@@ -64,6 +65,7 @@
 void StreamForwarder::leaveLedger() {
   W.Runs.end(Run->Id);
   const Server *server = W.Servers.find(Run->Server);
+  Run->Server.clear();
   // Other runs there wait for their turn to move.
   if (server && server->IsLeaving && W.TellPeers)
     W.TellPeers();
@@ -126,13 +128,16 @@
     Attempt attempt = co_await tryOpen(server);
     W.Servers.closed(id);
     F.Tried.push_back(id);
-    noteOutcome(F, id, attempt);
-    if (attempt.End == AttemptEnd::Served && !attempt.Answer)
-      co_return true;
+    bool isOpen = attempt.End == AttemptEnd::Served && !attempt.Answer;
     // A move may have taken the run away before it answered.
-    if (attempt.End == AttemptEnd::Broken && co_await recover())
+    if (attempt.End == AttemptEnd::Broken)
+      isOpen = co_await recover();
+    if (isOpen) {
+      noteOutcome(F, id, attempt);
       co_return true;
-    W.Runs.end(Run->Id);
+    }
+    leaveLedger();
+    noteOutcome(F, id, attempt);
     F.stop();
     const bool hasServer =
         W.Placing.forGeneration(W.now(), *F.TheService, demand, F.Tried)
--- a/src/gateway/world.h
+++ b/src/gateway/world.h
@@ -41,22 +41,22 @@
   /// The process ends by itself this long before it would be killed.
   static constexpr base::milliseconds EndMargin{250};
 
-  World(asio::io_context &io, GatewaySettings settings, Dialect dialect,
-        Source source)
-      : Io(io), Settings(std::move(settings)), Words(std::move(dialect)),
-        From(std::move(source)), Log(Settings.Name),
+  World(asio::io_context &io, const base::Clock &clock,
+        GatewaySettings settings, Dialect dialect, Source source)
+      : Io(io), Clock(clock), Settings(std::move(settings)),
+        Words(std::move(dialect)), From(std::move(source)), Log(Settings.Name),
         Placing(Servers, Runs, Settings.Zone), Budget(Settings.Retries),
         Random(base::secureRandom64()),
         Others({Settings.Name, Settings.ControlListen, Incarnation,
                 Settings.Seeds}) {}
 
   asio::io_context &Io;
+  const base::Clock &Clock;
   GatewaySettings Settings;
   Dialect Words;
   Source From;
   EventLog Log;
   base::Metrics Metrics;
-  base::SystemClock Clock;
   Directory Servers;
   Ledger Runs;
   Placement Placing;
@@ -79,9 +79,7 @@
   std::function<void()> TellPeers;
 
   base::Instant now() const { return Clock.now().Steady; }
-  bool isReady() const {
-    return Routes && !Servers.isEmpty() && !IsLeaving;
-  }
+  bool isReady() const { return Routes && !Servers.isEmpty() && !IsLeaving; }
   /// When a gateway that was told to stop ends, whatever is still open.
   base::Instant stopAt() const {
     return LeavingSince + Settings.Grace - EndMargin;
--- a/src/http/connection.cc
+++ b/src/http/connection.cc
@@ -42,9 +42,8 @@
   return text + "\r\n" + request.Body;
 }
 
-class TcpConnection final
-    : public Connection,
-      public std::enable_shared_from_this<TcpConnection> {
+class TcpConnection final : public Connection,
+                            public std::enable_shared_from_this<TcpConnection> {
 public:
   TcpConnection(base::Endpoint to, beast::tcp_stream stream)
       : To(std::move(to)), Stream(std::move(stream)) {}
@@ -83,7 +82,7 @@
       piece.resize(PieceBytes);
       Parser->get().body().data = piece.data();
       Parser->get().body().size = piece.size();
-        error_code ec;
+      error_code ec;
       co_await beast::http::async_read_some(
           Stream, Buffer, *Parser, asio::redirect_error(use_awaitable, ec));
       piece.resize(piece.size() - Parser->get().body().size);
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -68,7 +68,7 @@
 class CallerConnection final : public Exchange {
 public:
   CallerConnection(beast::tcp_stream &stream, bool keepAlive,
-             base::milliseconds writeLimit)
+                   base::milliseconds writeLimit)
       : Stream(stream), KeepAlive(keepAlive), WriteLimit(writeLimit) {}
   ~CallerConnection() override {
     if (!IsWatching)
@@ -172,17 +172,17 @@
       return;
     IsWatching = true;
     std::weak_ptr<bool> alive = Alive;
-    Stream.socket().async_wait(
-        tcp::socket::wait_read, [this, alive](error_code ec) {
-          if (alive.expired())
-            return;
-          IsWatching = false;
-          if (ec || !hasLeft())
-            return;
-          KeepAlive = false;
-          if (Gone)
-            Gone();
-        });
+    Stream.socket().async_wait(tcp::socket::wait_read,
+                               [this, alive](error_code ec) {
+                                 if (alive.expired())
+                                   return;
+                                 IsWatching = false;
+                                 if (ec || !hasLeft())
+                                   return;
+                                 KeepAlive = false;
+                                 if (Gone)
+                                   Gone();
+                               });
   }
 
   bool hasLeft() {
@@ -315,9 +315,9 @@
   open->Stream.socket().shutdown(tcp::socket::shutdown_both, ec);
 }
 
-asio::awaitable<bool>
-Server::State::waitForBytes(Open &open, beast::flat_buffer &buffer,
-                            base::milliseconds limit) {
+asio::awaitable<bool> Server::State::waitForBytes(Open &open,
+                                                  beast::flat_buffer &buffer,
+                                                  base::milliseconds limit) {
   if (buffer.size() > 0)
     co_return true;
   open.IsIdle = true;
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -112,9 +112,9 @@
   Last = report;
   HasReport = true;
   if (isNew)
-    Log.write("engine-leaving",
-              {{"leaves_in_ms",
-                report.LeavesIn.value_or(milliseconds(0)).count()}});
+    Log.write(
+        "engine-leaving",
+        {{"leaves_in_ms", report.LeavesIn.value_or(milliseconds(0)).count()}});
   if (!report.IsLeaving)
     return;
   const base::Instant now = Clock.now().Steady;
@@ -156,8 +156,7 @@
     udp::endpoint from;
     error_code ec;
     const std::size_t n = co_await Socket.async_receive_from(
-        asio::buffer(buf), from,
-        asio::redirect_error(asio::use_awaitable, ec));
+        asio::buffer(buf), from, asio::redirect_error(asio::use_awaitable, ec));
     if (ec == asio::error::operation_aborted)
       co_return;
     wire::Gossip message;
@@ -170,8 +169,7 @@
 /// Asks the gateways in turn, so that each is asked seldom.
 asio::awaitable<void> Sidecar::keepContact() {
   for (;;) {
-    const std::vector<base::Endpoint> due =
-        Gateways.due(Clock.now().Steady);
+    const std::vector<base::Endpoint> due = Gateways.due(Clock.now().Steady);
     std::vector<base::Endpoint> to;
     for (std::size_t i = 0; i < std::min(due.size(), MostContacts); ++i)
       to.push_back(due[NextContact++ % due.size()]);
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -30,9 +30,9 @@
 
 class Sidecar {
 public:
-  static base::Result<std::unique_ptr<Sidecar>>
-  start(asio::io_context &io, SidecarSettings settings,
-        gateway::Dialect dialect);
+  static base::Result<std::unique_ptr<Sidecar>> start(asio::io_context &io,
+                                                      SidecarSettings settings,
+                                                      gateway::Dialect dialect);
 
 private:
   Sidecar(asio::io_context &io, SidecarSettings settings,
--- /dev/null
+++ b/test/forwarding-test.cc
@@ -0,0 +1,664 @@
+// A whole gateway in one process, before servers of the test's own on loopback:
+// requests, streams and moves, with each thing that can go wrong on the way.
+// Waits are on conditions; no test depends on how long something takes.
+#include "platform/dialect.h"
+#include "shell.h"
+
+#include "drumlanding/daemon/sleep.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/ip/udp.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+namespace drumlanding::gateway {
+namespace {
+
+using base::milliseconds;
+using base::seconds;
+using daemon::sleepFor;
+namespace ip = asio::ip;
+
+/// Longer than any test needs, so that a hang ends as a failure.
+constexpr seconds TestLimit{20};
+constexpr milliseconds Step{2};
+/// A moved stream must last longer than the news of a leaving server takes.
+constexpr int MoveEvents = 300;
+
+base::Endpoint freeEndpoint() {
+  asio::io_context io;
+  ip::tcp::acceptor a(io, {ip::make_address("127.0.0.1"), 0});
+  return {"127.0.0.1", a.local_endpoint().port()};
+}
+
+std::string eventText(int id) {
+  return "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) +
+         "\n\n";
+}
+
+/// What goes wrong while a generation moves.
+enum class MoveFault {
+  None,
+  NoRunYet,           ///< The first copies find no run.
+  NoRoom,             ///< The destination takes nothing.
+  CopyNeverAnswers,   ///< The first copy hangs.
+  LastFails,          ///< The last copy fails; the source keeps the memory.
+  LastAnswerLost,     ///< The source has stopped, and nobody hears of it.
+  DestinationRefuses, ///< The copy is there, and its server does not take it.
+  DestinationDies,    ///< It breaks off after the first event.
+  SourceDies,         ///< It dies before the last copy.
+};
+
+/// A server of the test's own: an engine that streams numbered events, or a
+/// plain service with a handler.
+class TestServer {
+public:
+  TestServer(asio::io_context &io, std::string id, std::string service)
+      : Io(io), Id(std::move(id)), Service(std::move(service)),
+        Address(freeEndpoint()) {
+    auto made = http::Server::listen(
+        io, Address, {}, [this](http::Request r, http::Exchange &x) {
+          return serve(std::move(r), x);
+        });
+    Listener = std::move(value(made));
+  }
+
+  ListedServer listed(ServerState state = ServerState::Ready) const {
+    ListedServer s;
+    s.Id = Id;
+    s.Service = Service;
+    s.Address = Address;
+    s.Zone = "a";
+    s.State = state;
+    return s;
+  }
+
+  http::Response own(const http::Request &request, int status,
+                     std::string body) const {
+    return {status,
+            "text/plain",
+            std::move(body),
+            {{"X-Attempt-Id", std::string(request.header("X-Attempt-Id"))},
+             {"X-Served-Stamp", Id}}};
+  }
+
+  asio::io_context &Io;
+  std::string Id;
+  std::string Service;
+  base::Endpoint Address;
+  std::vector<http::Request> Got;
+  std::function<asio::awaitable<void>(http::Request, http::Exchange &)> OnCall;
+  /// Engines.
+  int Events = 30;
+  int Gone = 0;
+  bool IsStopped = false;
+  bool IsDead = false;
+  int Copies = 0;
+  MoveFault Fault = MoveFault::None;
+
+private:
+  // GCC 12 destroys the temporaries of braced lists beside co_await twice.
+  static asio::awaitable<void> sendJson(http::Exchange &x, int status,
+                                        std::string body) {
+    http::Response response;
+    response.Status = status;
+    response.Body = std::move(body);
+    co_await x.send(std::move(response));
+  }
+
+  asio::awaitable<void> serve(http::Request request, http::Exchange &x) {
+    if (request.path() == "/drumlanding/kv-move") {
+      co_await copy(request, x);
+      co_return;
+    }
+    if (request.Method == "DELETE") {
+      co_await sendJson(x, 200, "");
+      co_return;
+    }
+    Got.push_back(request);
+    if (OnCall) {
+      co_await OnCall(std::move(request), x);
+      co_return;
+    }
+    co_await stream(request, x);
+  }
+
+  asio::awaitable<void> stream(const http::Request &request,
+                               http::Exchange &x) {
+    const bool isContinued = !request.header("Kv-From").empty();
+    if (isContinued && Fault == MoveFault::DestinationRefuses) {
+      http::Response refused = own(request, 503, "");
+      refused.Headers.push_back({"X-Not-Run", "1"});
+      co_await x.send(std::move(refused));
+      co_return;
+    }
+    x.onGone([this] { ++Gone; });
+    std::vector<http::Header> headers = own(request, 200, "").Headers;
+    headers.push_back({"Content-Type", "text/event-stream"});
+    co_await x.beginBody(200, headers);
+    const std::string last(request.header("Last-Event-Id"));
+    int next = last.empty() ? 0 : std::stoi(last) + 1;
+    if (isContinued)
+      IsStopped = false;
+    for (int sent = 0; next < Events; ++sent) {
+      if (IsStopped || IsDead)
+        co_return;
+      if (isContinued && sent == 1 && Fault == MoveFault::DestinationDies)
+        co_return;
+      if (!co_await x.body(eventText(next++)))
+        co_return;
+      co_await sleepFor(Step);
+    }
+    co_await x.endBody();
+  }
+
+  asio::awaitable<void> copy(const http::Request &request, http::Exchange &x) {
+    const auto json = nlohmann::json::parse(request.Body);
+    const bool isLast = json.value("last", false);
+    ++Copies;
+    if (Fault == MoveFault::NoRunYet && Copies < 3) {
+      co_await sendJson(x, 404, "{}");
+      co_return;
+    }
+    if (Fault == MoveFault::NoRoom) {
+      co_await sendJson(x, 503, "{}");
+      co_return;
+    }
+    if (Fault == MoveFault::CopyNeverAnswers) {
+      co_await sleepFor(TestLimit);
+      co_return;
+    }
+    if (Fault == MoveFault::SourceDies && isLast) {
+      IsDead = true;
+      co_return;
+    }
+    IsStopped = IsStopped || isLast;
+    if (Fault == MoveFault::LastAnswerLost && isLast)
+      co_return;
+    const bool isFailed = Fault == MoveFault::LastFails && isLast;
+    const int status = isFailed ? 503 : 200;
+    co_await sendJson(x, status, R"({"handle":"h1","made":5})");
+  }
+
+  std::unique_ptr<http::Server> Listener;
+};
+
+asio::awaitable<void> sendOwn(TestServer &server, http::Request request,
+                              http::Exchange &x, int status, std::string body) {
+  http::Response response = server.own(request, status, std::move(body));
+  co_await x.send(std::move(response));
+}
+
+/// Answers with a part of a body and breaks the connection off.
+asio::awaitable<void> breakOff(TestServer &server, http::Request request,
+                               http::Exchange &x) {
+  std::vector<http::Header> headers = server.own(request, 200, "").Headers;
+  co_await x.beginBody(200, std::move(headers));
+  co_await x.body("half of");
+}
+
+asio::awaitable<void> hang() { co_await sleepFor(TestLimit); }
+
+/// What a caller has received of a stream.
+struct Received {
+  std::vector<std::string> Ids;
+  http::StreamEnd End;
+};
+
+class ForwardingTest : public testing::Test {
+protected:
+  ForwardingTest() {
+    Plan.Version = 1;
+    Plan.Services = {{"shop", "/healthz", 0, std::nullopt},
+                     {"llm", "/healthz", 0, engine()}};
+    Plan.Routes = {route("/once/", RequestKind::NonIdempotent, "shop"),
+                   route("/often/", RequestKind::Idempotent, "shop"),
+                   route("/stream/", RequestKind::Stream, "llm")};
+    Plan.Routes[1].MaxAttempts = 2;
+  }
+
+  static EngineTraits engine() {
+    EngineTraits e;
+    e.MemoryTokens = 30'000;
+    e.BytesPerToken = 100;
+    e.LinkMbps = 1'000;
+    e.CanMove = true;
+    return e;
+  }
+
+  static Route route(std::string prefix, RequestKind kind,
+                     std::string service) {
+    Route r;
+    r.Name = prefix;
+    r.Host = "a.example";
+    r.PathPrefix = std::move(prefix);
+    r.Kind = kind;
+    r.Timeout = milliseconds(10'000);
+    r.Services = {{std::move(service), 1}};
+    return r;
+  }
+
+  TestServer &addServer(std::string id, std::string service) {
+    Servers.push_back(
+        std::make_unique<TestServer>(Io, std::move(id), std::move(service)));
+    return *Servers.back();
+  }
+
+  Source source() {
+    Source s;
+    s.ReadConfig = [this]() -> Source::Answer<ConfigText> {
+      ConfigText text{1, HasConfig ? "config" : ""};
+      co_return text;
+    };
+    s.WatchConfig = [](std::uint64_t, milliseconds) {
+      return never<ConfigText>();
+    };
+    s.ReadServers = [this]() -> Source::Answer<ServerChanges> {
+      ServerChanges all;
+      for (const auto &server : Servers)
+        all.Changes.push_back({server->Id, server->listed()});
+      co_return all;
+    };
+    s.WatchServers = [this](std::uint64_t, milliseconds) {
+      return nextChanges();
+    };
+    s.DecodeConfig = [this](std::string_view) -> base::Result<Config> {
+      return Plan;
+    };
+    return s;
+  }
+
+  template <typename T> static Source::Answer<T> never() {
+    co_await sleepFor(TestLimit);
+    co_return base::Error{base::ErrorCode::TimedOut, "test", "never"};
+  }
+
+  Source::Answer<ServerChanges> nextChanges() {
+    while (Changes.empty())
+      co_await sleepFor(Step);
+    ServerChanges next;
+    next.Changes = std::move(Changes);
+    Changes.clear();
+    co_return next;
+  }
+
+  void startGateway() {
+    GatewaySettings settings;
+    settings.Name = "gateway";
+    settings.Zone = "a";
+    settings.Listen = freeEndpoint();
+    settings.ReadyListen = freeEndpoint();
+    settings.ControlListen = freeEndpoint();
+    settings.Retries = {0.2, 50, seconds(10)};
+    auto shell =
+        Shell::start(Io, Clock, settings, platform::makeDialect(), source());
+    ASSERT_TRUE(ok(shell)) << describe(error(shell));
+    Gateway = std::move(value(shell));
+    At = settings.Listen;
+    ReadyAt = settings.ReadyListen;
+  }
+
+  /// Runs until the coroutine has ended.
+  template <typename Body> void runTest(Body body) {
+    bool isDone = false;
+    asio::co_spawn(
+        Io,
+        [&]() -> asio::awaitable<void> {
+          co_await body();
+          isDone = true;
+          Io.stop();
+        },
+        [](std::exception_ptr e) {
+          if (e)
+            std::rethrow_exception(e);
+        });
+    Io.run_for(TestLimit);
+    EXPECT_TRUE(isDone) << "the test hangs";
+  }
+
+  asio::awaitable<void> waitUntil(std::function<bool()> holds) {
+    while (!holds())
+      co_await sleepFor(Step);
+  }
+
+  asio::awaitable<void> waitUntilReady() {
+    co_await waitUntil([this] { return Gateway->world().isReady(); });
+  }
+
+  static http::Request request(std::string method, std::string path) {
+    return {std::move(method),
+            std::move(path),
+            {{"Host", "a.example"},
+             {"X-Attempt-Id", "id-1"},
+             {"X-Token-Usage", "100,2000"}},
+            {}};
+  }
+
+  asio::awaitable<http::Response> call(http::Request r) {
+    http::Fetched fetched = co_await http::fetch(At, std::move(r), TestLimit);
+    EXPECT_TRUE(ok(fetched.Answer));
+    if (!ok(fetched.Answer))
+      co_return http::Response{0, "", "", {}};
+    co_return std::move(value(fetched.Answer));
+  }
+
+  asio::awaitable<Received> readStream(std::string path) {
+    Received received;
+    received.End =
+        co_await http::stream(At, request("POST", std::move(path)), TestLimit,
+                              [&](const http::ServerEvent &event) {
+                                received.Ids.push_back(event.Id);
+                                return true;
+                              });
+    co_return received;
+  }
+
+  static void expectInOrder(const Received &received) {
+    for (std::size_t i = 0; i < received.Ids.size(); ++i)
+      EXPECT_EQ(received.Ids[i], std::to_string(i));
+  }
+
+  asio::io_context Io{1};
+  base::SystemClock Clock;
+  Config Plan;
+  bool HasConfig = true;
+  std::vector<std::unique_ptr<TestServer>> Servers;
+  std::vector<ServerChange> Changes;
+  std::unique_ptr<Shell> Gateway;
+  base::Endpoint At;
+  base::Endpoint ReadyAt;
+};
+
+TEST_F(ForwardingTest, WithoutAConfigNothingIsReady) {
+  HasConfig = false;
+  startGateway();
+  runTest([&]() -> asio::awaitable<void> {
+    const http::Response r = co_await call(request("GET", "/once/x"));
+    EXPECT_EQ(r.Status, 503);
+    EXPECT_FALSE(http::findHeader(r.Headers, "Retry-After").empty());
+    http::Request ready{"GET", "/drumlanding/readyz", {}, {}};
+    http::Fetched f =
+        co_await http::fetch(ReadyAt, std::move(ready), TestLimit);
+    EXPECT_EQ(base::value(f.Answer).Status, 503);
+  });
+}
+
+TEST_F(ForwardingTest, AnswersComeBackUnchanged) {
+  TestServer &shop = addServer("s1", "shop");
+  shop.OnCall = [&](http::Request r, http::Exchange &x) {
+    return sendOwn(shop, std::move(r), x, 418, "teapot");
+  };
+  startGateway();
+  runTest([&]() -> asio::awaitable<void> {
+    co_await waitUntilReady();
+    http::Request r = request("POST", "/once/x?y=1");
+    r.Body = "hello";
+    const http::Response answer = co_await call(std::move(r));
+    EXPECT_EQ(answer.Status, 418);
+    EXPECT_EQ(answer.Body, "teapot");
+    EXPECT_EQ(http::findHeader(answer.Headers, "X-Served-Stamp"), "s1");
+    EXPECT_EQ(shop.Got.size(), 1U);
+    EXPECT_EQ(shop.Got[0].Target, "/once/x?y=1");
+    EXPECT_EQ(shop.Got[0].Body, "hello");
+    EXPECT_EQ(shop.Got[0].header("X-Expect-Instance"), "s1");
+    EXPECT_FALSE(shop.Got[0].header("X-Deadline-Ms").empty());
+  });
+}
+
+TEST_F(ForwardingTest, KeysAndRoutesAreChecked) {
+  addServer("s1", "shop");
+  Plan.Organisations = {{"school", {"k1"}, 0}};
+  startGateway();
+  runTest([&]() -> asio::awaitable<void> {
+    co_await waitUntilReady();
+    const http::Response none = co_await call(request("GET", "/once/x"));
+    EXPECT_EQ(none.Status, 401);
+    const http::Response lost = co_await call(request("GET", "/nowhere"));
+    EXPECT_EQ(lost.Status, 404);
+    EXPECT_TRUE(Servers[0]->Got.empty());
+  });
+}
+
+TEST_F(ForwardingTest, OnlyRepeatableRequestsGoToASecondServer) {
+  const auto fail = [](TestServer &server, int status) {
+    server.OnCall = [&server, status](http::Request r, http::Exchange &x) {
+      return sendOwn(server, std::move(r), x, status, "failed");
+    };
+  };
+  TestServer &one = addServer("s1", "shop");
+  TestServer &two = addServer("s2", "shop");
+  fail(one, 500);
+  fail(two, 500);
+  startGateway();
+  runTest([&]() -> asio::awaitable<void> {
+    co_await waitUntilReady();
+    const http::Response once = co_await call(request("POST", "/once/x"));
+    EXPECT_EQ(once.Status, 500);
+    EXPECT_EQ(one.Got.size() + two.Got.size(), 1U);
+    const http::Response often = co_await call(request("GET", "/often/x"));
+    EXPECT_EQ(often.Status, 500);
+    EXPECT_EQ(often.Body, "failed");
+    EXPECT_EQ(one.Got.size() + two.Got.size(), 3U);
+  });
+}
+
+TEST_F(ForwardingTest, ABrokenAnswerIsNeverPassedOnAsWhole) {
+  TestServer &shop = addServer("s1", "shop");
+  shop.OnCall = [&](http::Request r, http::Exchange &x) {
+    return breakOff(shop, std::move(r), x);
+  };
+  startGateway();
+  runTest([&]() -> asio::awaitable<void> {
+    co_await waitUntilReady();
+    const http::Response r = co_await call(request("POST", "/once/x"));
+    EXPECT_EQ(r.Status, 502);
+    EXPECT_EQ(http::findHeader(r.Headers, "Drumlanding-Verdict"),
+              "may-have-run");
+    EXPECT_EQ(shop.Got.size(), 1U);
+  });
+}
+
+TEST_F(ForwardingTest, AnUnstampedAnswerIsNoAnswer) {
+  TestServer &shop = addServer("s1", "shop");
+  shop.OnCall = [](http::Request r,
+                   http::Exchange &x) -> asio::awaitable<void> {
+    http::Response bare{200, "", "forged", {}};
+    bare.Headers.push_back(
+        {"X-Attempt-Id", std::string(r.header("X-Attempt-Id"))});
+    co_await x.send(std::move(bare));
+  };
+  startGateway();
+  runTest([&]() -> asio::awaitable<void> {
+    co_await waitUntilReady();
+    const http::Response r = co_await call(request("POST", "/once/x"));
+    EXPECT_EQ(r.Status, 502);
+  });
+}
+
+TEST_F(ForwardingTest, ARefusalThatDidNotRunSaysSo) {
+  TestServer &shop = addServer("s1", "shop");
+  shop.OnCall = [&](http::Request r,
+                    http::Exchange &x) -> asio::awaitable<void> {
+    http::Response full = shop.own(r, 503, "full");
+    full.Headers.push_back({"X-Not-Run", "1"});
+    co_await x.send(std::move(full));
+  };
+  startGateway();
+  runTest([&]() -> asio::awaitable<void> {
+    co_await waitUntilReady();
+    const http::Response r = co_await call(request("POST", "/once/x"));
+    EXPECT_EQ(r.Status, 503);
+    EXPECT_EQ(http::findHeader(r.Headers, "Drumlanding-Verdict"), "not-run");
+    EXPECT_FALSE(http::findHeader(r.Headers, "Retry-After").empty());
+    EXPECT_EQ(http::findHeader(r.Headers, "X-Served-Stamp"), "");
+  });
+}
+
+TEST_F(ForwardingTest, AnotherServerAtTheAddressIsNotAskedTwice) {
+  TestServer &old = addServer("s1", "shop");
+  old.OnCall = [&](http::Request r, http::Exchange &x) {
+    return sendOwn(old, std::move(r), x, 421, "");
+  };
+  startGateway();
+  runTest([&]() -> asio::awaitable<void> {
+    co_await waitUntilReady();
+    const http::Response r = co_await call(request("POST", "/once/x"));
+    EXPECT_EQ(r.Status, 503);
+    const http::Response again = co_await call(request("POST", "/once/x"));
+    EXPECT_EQ(again.Status, 503);
+    EXPECT_EQ(old.Got.size(), 1U);
+  });
+}
+
+TEST_F(ForwardingTest, ARequestIsAnsweredAtItsTimeout) {
+  Plan.Routes[0].Timeout = milliseconds(150);
+  TestServer &shop = addServer("s1", "shop");
+  shop.OnCall = [](http::Request, http::Exchange &) { return hang(); };
+  startGateway();
+  runTest([&]() -> asio::awaitable<void> {
+    co_await waitUntilReady();
+    const http::Response r = co_await call(request("POST", "/once/x"));
+    EXPECT_EQ(r.Status, 504);
+    EXPECT_EQ(shop.Got.size(), 1U);
+  });
+}
+
+TEST_F(ForwardingTest, AServerThatCannotBeReachedCostsNoAttempt) {
+  TestServer &shop = addServer("s1", "shop");
+  shop.OnCall = [&](http::Request r, http::Exchange &x) {
+    return sendOwn(shop, std::move(r), x, 200, "served");
+  };
+  startGateway();
+  runTest([&]() -> asio::awaitable<void> {
+    co_await waitUntilReady();
+    ListedServer gone = shop.listed();
+    gone.Id = "s0";
+    gone.Address = freeEndpoint();
+    Changes.push_back({"s0", gone});
+    co_await waitUntil([&] { return Gateway->world().Servers.find("s0"); });
+    for (int i = 0; i < 6; ++i) {
+      const http::Response r = co_await call(request("POST", "/once/x"));
+      EXPECT_EQ(r.Status, 200);
+    }
+  });
+}
+
+TEST_F(ForwardingTest, StreamsArriveWhole) {
+  addServer("e1", "llm");
+  startGateway();
+  runTest([&]() -> asio::awaitable<void> {
+    co_await waitUntilReady();
+    const Received r = co_await readStream("/stream/x");
+    EXPECT_TRUE(r.End.Whole);
+    EXPECT_EQ(r.Ids.size(), 30U);
+    expectInOrder(r);
+  });
+}
+
+TEST_F(ForwardingTest, ABrokenStreamDoesNotLookWhole) {
+  TestServer &engine = addServer("e1", "llm");
+  startGateway();
+  runTest([&]() -> asio::awaitable<void> {
+    co_await waitUntilReady();
+    Received r;
+    r.End = co_await http::stream(At, request("POST", "/stream/x"), TestLimit,
+                                  [&](const http::ServerEvent &event) {
+                                    r.Ids.push_back(event.Id);
+                                    engine.IsDead = r.Ids.size() == 5;
+                                    return true;
+                                  });
+    EXPECT_FALSE(r.End.Whole);
+    EXPECT_GE(r.Ids.size(), 5U);
+    expectInOrder(r);
+  });
+}
+
+TEST_F(ForwardingTest, ACallerThatLeavesEndsItsRun) {
+  TestServer &engine = addServer("e1", "llm");
+  engine.Events = 1'000'000;
+  startGateway();
+  runTest([&]() -> asio::awaitable<void> {
+    co_await waitUntilReady();
+    co_await http::stream(At, request("POST", "/stream/x"), TestLimit,
+                          [](const http::ServerEvent &) { return false; });
+    co_await waitUntil([&] { return engine.Gone == 1; });
+    EXPECT_EQ(engine.Got.size(), 1U);
+  });
+}
+
+TEST_F(ForwardingTest, ALeavingGatewayEndsItsRequestsAndItself) {
+  addServer("e1", "llm");
+  startGateway();
+  runTest([&]() -> asio::awaitable<void> {
+    co_await waitUntilReady();
+    Received r;
+    r.End = co_await http::stream(At, request("POST", "/stream/x"), TestLimit,
+                                  [&](const http::ServerEvent &event) {
+                                    if (event.Id == "3")
+                                      Gateway->leave();
+                                    r.Ids.push_back(event.Id);
+                                    return true;
+                                  });
+    EXPECT_TRUE(r.End.Whole);
+    expectInOrder(r);
+    EXPECT_FALSE(Gateway->world().isReady());
+  });
+}
+
+/// A move under each fault: every event arrives at most once and in order, and
+/// the answer is whole exactly when all of them came.
+class MoveTest : public ForwardingTest,
+                 public testing::WithParamInterface<MoveFault> {};
+
+TEST_P(MoveTest, EveryEventArrivesOnce) {
+  const MoveFault fault = GetParam();
+  TestServer &source = addServer("e1", "llm");
+  const bool isAtDestination = fault == MoveFault::DestinationRefuses ||
+                               fault == MoveFault::DestinationDies;
+  source.Fault = isAtDestination ? MoveFault::None : fault;
+  source.Events = MoveEvents;
+  startGateway();
+  runTest([&]() -> asio::awaitable<void> {
+    co_await waitUntilReady();
+    TestServer &destination = addServer("e2", "llm");
+    destination.Fault = fault;
+    destination.Events = MoveEvents;
+    Received r;
+    r.End = co_await http::stream(
+        At, request("POST", "/stream/x"), TestLimit,
+        [&](const http::ServerEvent &event) {
+          if (event.Id == "3") {
+            Changes.push_back({"e2", destination.listed()});
+            Changes.push_back({"e1", source.listed(ServerState::Leaving)});
+          }
+          r.Ids.push_back(event.Id);
+          return true;
+        });
+    expectInOrder(r);
+    EXPECT_EQ(r.End.Whole,
+              r.Ids.size() == static_cast<std::size_t>(MoveEvents));
+    const bool isLost = fault == MoveFault::LastAnswerLost ||
+                        fault == MoveFault::DestinationDies ||
+                        fault == MoveFault::SourceDies;
+    EXPECT_EQ(r.End.Whole, !isLost);
+    if (fault == MoveFault::None || fault == MoveFault::NoRunYet) {
+      EXPECT_EQ(destination.Got.size(), 1U);
+    }
+    EXPECT_EQ(Gateway->world().Runs.ownRuns().size(), 0U);
+  });
+}
+
+INSTANTIATE_TEST_SUITE_P(
+    Faults, MoveTest,
+    testing::Values(MoveFault::None, MoveFault::NoRunYet, MoveFault::NoRoom,
+                    MoveFault::CopyNeverAnswers, MoveFault::LastFails,
+                    MoveFault::LastAnswerLost, MoveFault::DestinationRefuses,
+                    MoveFault::DestinationDies, MoveFault::SourceDies));
+
+} // namespace
+} // namespace drumlanding::gateway
--- /dev/null
+++ b/test/gateway-test.cc
@@ -0,0 +1,598 @@
+// Tests of the gateway's decisions, without I/O and with times of their own.
+#include "drumlanding/gateway/attempt-policy.h"
+#include "drumlanding/gateway/directory.h"
+#include "drumlanding/gateway/event-log.h"
+#include "drumlanding/gateway/event-splitter.h"
+#include "drumlanding/gateway/ledger.h"
+#include "drumlanding/gateway/move-plan.h"
+#include "drumlanding/gateway/peers.h"
+#include "drumlanding/gateway/placement.h"
+#include "drumlanding/gateway/retry-budget.h"
+#include "drumlanding/gateway/routes.h"
+#include "gateway.pb.h"
+
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+namespace drumlanding::gateway {
+namespace {
+
+using base::milliseconds;
+using base::seconds;
+
+const base::Instant Start(std::chrono::hours(1));
+
+Route route(std::string host, std::string prefix, std::string service) {
+  Route r;
+  r.Name = host + prefix;
+  r.Host = std::move(host);
+  r.PathPrefix = std::move(prefix);
+  r.Services = {{std::move(service), 1}};
+  return r;
+}
+
+ListedServer server(std::string id, std::string service = "llm",
+                    std::string zone = "a", std::uint16_t port = 1) {
+  ListedServer s;
+  s.Id = std::move(id);
+  s.Service = std::move(service);
+  s.Address = {"10.0.0.1", port};
+  s.Zone = std::move(zone);
+  return s;
+}
+
+LedgerRun run(RunId id, std::string on, std::uint32_t prompt,
+              std::uint32_t most = 2000) {
+  LedgerRun r;
+  r.Id = id;
+  r.Server = std::move(on);
+  r.PromptTokens = prompt;
+  r.ExpectedTokens = most / 2;
+  r.MostTokens = most;
+  return r;
+}
+
+// Routes.
+
+TEST(Routes, LongestPrefixOfTheHostWins) {
+  Config config;
+  config.Routes = {route("a.example", "/x/", "one"),
+                   route("a.example", "/x/y/", "two"),
+                   route("b.example", "/x/", "three")};
+  const RouteTable table(config);
+  EXPECT_EQ(table.find("a.example", "/x/y/z")->Services[0].Service, "two");
+  EXPECT_EQ(table.find("A.Example:8080", "/x/z")->Services[0].Service, "one");
+  EXPECT_EQ(table.find("b.example", "/x/y/z")->Services[0].Service, "three");
+  EXPECT_EQ(table.find("b.example", "/y/"), nullptr);
+  EXPECT_EQ(table.find("c.example", "/x/"), nullptr);
+  EXPECT_EQ(table.find("a.example", "/x"), nullptr);
+}
+
+TEST(Routes, KeysLeadToTheirHolder) {
+  Config config;
+  config.Organisations = {{"school", {"k1", "k2"}, 1}, {"library", {"k3"}, 0}};
+  const RouteTable table(config);
+  EXPECT_TRUE(table.needsKeys());
+  EXPECT_EQ(table.organisationOf("k2")->Name, "school");
+  EXPECT_EQ(table.organisationOf("k3")->Name, "library");
+  EXPECT_EQ(table.organisationOf(""), nullptr);
+  EXPECT_EQ(table.organisationOf("k"), nullptr);
+}
+
+TEST(Routes, ServicesShareByWeight) {
+  Route r = route("a", "/", "one");
+  r.Services = {{"one", 90}, {"two", 10}};
+  base::Random random(7);
+  int two = 0;
+  constexpr int Draws = 10'000;
+  for (int i = 0; i < Draws; ++i)
+    two += chooseService(r, random) == "two" ? 1 : 0;
+  EXPECT_NEAR(two, Draws / 10, Draws / 50);
+  r.Services.clear();
+  EXPECT_EQ(chooseService(r, random), "");
+}
+
+// Directory.
+
+TEST(Directory, LapsedEntriesHaveTimeToComeBackAfterAnOutage) {
+  Directory d;
+  d.put(Start, server("s1"));
+  d.put(Start, server("s2"));
+  d.storeFailed(Start + seconds(1));
+  d.remove(Start + seconds(2), "s1");
+  EXPECT_EQ(d.usable(Start + seconds(2), "llm").size(), 2U);
+  const base::Instant back = Start + seconds(5);
+  d.storeAnswered(back);
+  d.replaceAll(back, {});
+  EXPECT_EQ(d.usable(back, "llm").size(), 2U);
+  d.put(back + seconds(1), server("s1"));
+  d.tick(back + Directory::GraceAfterReturn - milliseconds(1));
+  EXPECT_EQ(d.usable(back + seconds(2), "llm").size(), 2U);
+  d.tick(back + Directory::GraceAfterReturn + milliseconds(1));
+  const auto left = d.usable(back + seconds(3), "llm");
+  ASSERT_EQ(left.size(), 1U);
+  EXPECT_EQ(left[0]->Listed.Id, "s1");
+}
+
+TEST(Directory, AnEntryRemovedInCalmTimesIsLeavingAtOnce) {
+  Directory d;
+  int told = 0;
+  d.OnLeaving = [&](const Server &) { ++told; };
+  d.put(Start, server("s1"));
+  d.storeAnswered(Start);
+  d.remove(Start + seconds(9), "s1");
+  EXPECT_TRUE(d.usable(Start + seconds(9), "llm").empty());
+  EXPECT_EQ(told, 1);
+  d.markLeaving(Start + seconds(10), "s1");
+  EXPECT_EQ(told, 1);
+}
+
+TEST(Directory, LeavingServersNeverComeBack) {
+  Directory d;
+  ListedServer s = server("s1");
+  d.put(Start, s);
+  s.State = ServerState::Leaving;
+  d.put(Start, s);
+  s.State = ServerState::Ready;
+  d.put(Start + seconds(1), s);
+  EXPECT_TRUE(d.usable(Start + seconds(1), "llm").empty());
+  ASSERT_EQ(d.list().size(), 1U);
+  EXPECT_EQ(d.list()[0].State, ServerState::Leaving);
+}
+
+TEST(Directory, NoticesNameServersByTheirAddress) {
+  Directory d;
+  d.put(Start, server("s1", "llm", "a", 1));
+  d.put(Start, server("s2", "llm", "a", 2));
+  d.noticeLeaving(Start, {"10.0.0.1", 2}, milliseconds(1'700));
+  EXPECT_FALSE(d.find("s1")->IsLeaving);
+  EXPECT_TRUE(d.find("s2")->IsLeaving);
+  EXPECT_EQ(d.find("s2")->GoneAt, Start + milliseconds(1'700));
+  // A repeated notice does not put it off.
+  d.noticeLeaving(Start + seconds(1), {"10.0.0.1", 2}, milliseconds(1'700));
+  EXPECT_EQ(d.find("s2")->GoneAt, Start + milliseconds(1'700));
+}
+
+TEST(Directory, AReplacedServerMakesRoomForTheOneAtItsAddress) {
+  Directory d;
+  d.put(Start, server("s1"));
+  EXPECT_TRUE(d.knowsAddress({"10.0.0.1", 1}));
+  d.markReplaced(Start, "s1");
+  EXPECT_FALSE(d.knowsAddress({"10.0.0.1", 1}));
+  EXPECT_TRUE(d.isReplacedAt({"10.0.0.1", 1}));
+  d.put(Start, server("s2"));
+  ASSERT_EQ(d.usable(Start, "llm").size(), 1U);
+  // A notice at the address means the new one.
+  d.noticeLeaving(Start, {"10.0.0.1", 1}, milliseconds(0));
+  EXPECT_TRUE(d.find("s2")->IsLeaving);
+  EXPECT_TRUE(d.find("s2")->IsPlannedLeave);
+}
+
+TEST(Directory, FailingServersAreAvoidedAndTriedAgain) {
+  Directory d;
+  d.put(Start, server("s1"));
+  d.put(Start, server("s2"));
+  for (int i = 0; i < 20; ++i)
+    d.note(Start, "s1", ServerOutcome::Failed);
+  ASSERT_EQ(d.usable(Start, "llm").size(), 1U);
+  EXPECT_EQ(d.usable(Start + seconds(3), "llm").size(), 2U);
+  // When all fail, all are tried.
+  for (int i = 0; i < 20; ++i)
+    d.note(Start, "s2", ServerOutcome::Failed);
+  EXPECT_EQ(d.usable(Start, "llm").size(), 2U);
+}
+
+TEST(Directory, OrdinaryFailuresDoNotCount) {
+  Directory d;
+  d.put(Start, server("s1"));
+  d.put(Start, server("s2"));
+  base::Random random(3);
+  for (int i = 0; i < 1'000; ++i)
+    d.note(Start, "s1",
+           random.chance(0.14) ? ServerOutcome::Failed : ServerOutcome::Served);
+  EXPECT_EQ(d.usable(Start, "llm").size(), 2U);
+}
+
+// Attempt policy.
+
+struct PolicyCase {
+  AttemptEnd End;
+  RequestKind Kind;
+  int Sends;
+  int MaxSends;
+  bool MayHaveRun;
+  Step Expected;
+};
+
+TEST(AttemptPolicy, OnlyProofOrRepeatabilityAllowsAnotherServer) {
+  using E = AttemptEnd;
+  using K = RequestKind;
+  const PolicyCase cases[] = {
+      {E::Served, K::Stream, 1, 1, false, Step::Deliver},
+      {E::Failed, K::NonIdempotent, 1, 3, false, Step::Deliver},
+      {E::Failed, K::Idempotent, 1, 2, false, Step::TryAnother},
+      {E::Failed, K::Idempotent, 2, 2, true, Step::Deliver},
+      {E::Broken, K::NonIdempotent, 1, 3, false, Step::GiveUpMayHaveRun},
+      {E::Broken, K::Stream, 1, 3, false, Step::GiveUpMayHaveRun},
+      {E::Broken, K::Idempotent, 1, 2, false, Step::TryAnother},
+      {E::Broken, K::Idempotent, 2, 2, true, Step::GiveUpMayHaveRun},
+      {E::NotRun, K::NonIdempotent, 1, 2, false, Step::TryAnother},
+      {E::NotRun, K::NonIdempotent, 1, 1, false, Step::RefuseNotRun},
+      {E::NotRun, K::Idempotent, 2, 2, true, Step::GiveUpMayHaveRun},
+      {E::Unreachable, K::NonIdempotent, 0, 1, false, Step::TryAnother},
+      {E::OtherServer, K::Stream, 0, 1, false, Step::TryAnother},
+  };
+  for (const PolicyCase &c : cases) {
+    AttemptState state;
+    state.End = c.End;
+    state.Kind = c.Kind;
+    state.Sends = c.Sends;
+    state.MaxSends = c.MaxSends;
+    state.MayHaveRun = c.MayHaveRun;
+    EXPECT_EQ(nextStep(state, [] { return true; }), c.Expected)
+        << static_cast<int>(c.End) << " " << static_cast<int>(c.Kind);
+  }
+}
+
+/// Every combination: "not run" is said only of what cannot have run, and what
+/// may have run once is never sent again unless it may be repeated.
+TEST(AttemptPolicy, HoldsItsPromisesInEveryCase) {
+  for (int end = 0; end <= static_cast<int>(AttemptEnd::Unreachable); ++end)
+    for (int kind = 0; kind <= static_cast<int>(RequestKind::Stream); ++kind)
+      for (int bits = 0; bits < 32; ++bits)
+        for (int sends = 0; sends <= 3; ++sends) {
+          AttemptState s;
+          s.End = static_cast<AttemptEnd>(end);
+          s.Kind = static_cast<RequestKind>(kind);
+          s.Sends = sends;
+          s.MaxSends = 2;
+          s.MayHaveRun = (bits & 1) != 0;
+          s.HasTime = (bits & 2) != 0;
+          s.HasServer = (bits & 4) != 0;
+          const bool hasBudget = (bits & 8) != 0;
+          const Step step = nextStep(s, [&] { return hasBudget; });
+          const bool mayHaveRunNow =
+              s.End == AttemptEnd::Broken || s.End == AttemptEnd::Failed;
+          if (step == Step::RefuseNotRun) {
+            EXPECT_FALSE(mayHaveRunNow || s.MayHaveRun);
+          }
+          if (step == Step::TryAnother && s.Kind != RequestKind::Idempotent) {
+            EXPECT_FALSE(mayHaveRunNow);
+          }
+          if (step == Step::TryAnother) {
+            EXPECT_TRUE(s.HasTime && s.HasServer);
+            EXPECT_TRUE(sends == 0 || (hasBudget && sends < s.MaxSends));
+          }
+        }
+}
+
+TEST(AttemptPolicy, TakesFromTheBudgetOnlyWhatItUses) {
+  AttemptState s;
+  s.End = AttemptEnd::Broken;
+  s.Kind = RequestKind::Idempotent;
+  s.Sends = 1;
+  s.MaxSends = 2;
+  int taken = 0;
+  const auto take = [&] { return ++taken > 0; };
+  s.HasTime = false;
+  EXPECT_EQ(nextStep(s, take), Step::GiveUpMayHaveRun);
+  s.HasTime = true;
+  s.HasServer = false;
+  EXPECT_EQ(nextStep(s, take), Step::GiveUpMayHaveRun);
+  EXPECT_EQ(taken, 0);
+  s.HasServer = true;
+  EXPECT_EQ(nextStep(s, take), Step::TryAnother);
+  EXPECT_EQ(taken, 1);
+}
+
+// Retry budget.
+
+TEST(RetryBudget, StaysBelowItsPartOfEveryWindow) {
+  RetryBudget budget({0.2, 50, seconds(10)});
+  constexpr int Gateways = 5;
+  base::Random random(11);
+  std::deque<base::Instant> firsts;
+  std::deque<base::Instant> retries;
+  for (int ms = 0; ms < 60'000; ms += 20) {
+    const base::Instant now = Start + milliseconds(ms);
+    // Bursts of everything failing.
+    const bool isBurst = (ms / 7'000) % 2 == 1;
+    if (random.chance(0.5)) {
+      budget.firstSend(now, "shop");
+      firsts.push_back(now);
+    }
+    if (isBurst && budget.tryRetry(now, "shop", Gateways))
+      retries.push_back(now);
+    while (!firsts.empty() && firsts.front() < now - seconds(10))
+      firsts.pop_front();
+    while (!retries.empty() && retries.front() < now - seconds(10))
+      retries.pop_front();
+    EXPECT_LE(static_cast<double>(retries.size()),
+              0.2 * static_cast<double>(firsts.size()) + 50.0 / Gateways);
+  }
+}
+
+TEST(RetryBudget, ServicesDoNotShareIt) {
+  RetryBudget budget({0.0, 2, seconds(10)});
+  EXPECT_TRUE(budget.tryRetry(Start, "a", 1));
+  EXPECT_FALSE(budget.tryRetry(Start, "a", 1));
+  EXPECT_TRUE(budget.tryRetry(Start, "b", 1));
+  EXPECT_TRUE(budget.tryRetry(Start + seconds(11), "a", 1));
+}
+
+// Event splitter.
+
+TEST(EventSplitter, KeepsACutEventBack) {
+  EventSplitter s;
+  EXPECT_EQ(s.feed("id: 1\ndata: a\n\nid: 2\nda"), "id: 1\ndata: a\n\n");
+  EXPECT_TRUE(s.hasRest());
+  EXPECT_EQ(s.lastId(), 1);
+  s.restart();
+  EXPECT_EQ(s.feed("id: 2\ndata: b\n\n"), "id: 2\ndata: b\n\n");
+  EXPECT_FALSE(s.hasRest());
+  EXPECT_EQ(s.events(), 2U);
+}
+
+TEST(EventSplitter, DropsWhatHasPassed) {
+  EventSplitter s;
+  s.feed("id: 4\ndata: a\n\n");
+  EXPECT_EQ(s.feed("id: 3\ndata: x\n\nid: 4\ndata: x\n\nid: 5\ndata: b\n\n"),
+            "id: 5\ndata: b\n\n");
+}
+
+TEST(EventSplitter, TakesBytesOneByOneAndAnyLineEnd) {
+  for (const std::string eol : {"\n", "\r\n"}) {
+    const std::string text = "versions: 3" + eol + "id: 0" + eol + "data: a" +
+                             eol + eol + ": note" + eol + eol + "id:1" + eol +
+                             "data: b" + eol + eol;
+    EventSplitter s;
+    std::string out;
+    for (const char c : text)
+      out += s.feed({&c, 1});
+    EXPECT_EQ(out, text);
+    EXPECT_EQ(s.lastId(), 1);
+    EXPECT_EQ(s.events(), 2U);
+  }
+}
+
+// Ledger and placement.
+
+TEST(Ledger, ForecastsWhatRunsWillAdd) {
+  LedgerRun r = run(1, "s", 1'000);
+  r.ExpectedTokens = 300;
+  r.MadeTokens = 100;
+  EXPECT_EQ(expectedRemaining(r), 200U);
+  r.MadeTokens = 400; // it has outrun its estimate
+  EXPECT_EQ(expectedRemaining(r), 200U);
+  r.MostTokens = 450;
+  EXPECT_EQ(expectedRemaining(r), 50U);
+}
+
+TEST(Ledger, AddsTheOtherGatewaysAndForgetsSilentOnes) {
+  Ledger ledger;
+  ledger.begin(run(1, "s", 1'000));
+  ledger.takePeer(Start, "peer", {run(2, "s", 500), run(3, "t", 700)});
+  EXPECT_EQ(ledger.loadOf("s").Running, 2);
+  EXPECT_EQ(ledger.loadOf("s").UsedTokens, 1'500U);
+  EXPECT_EQ(ledger.runsOn("t").size(), 1U);
+  ledger.tick(Start + seconds(5));
+  EXPECT_EQ(ledger.loadOf("s").Running, 1);
+  ledger.end(1);
+  EXPECT_EQ(ledger.loadOf("s").Running, 0);
+}
+
+struct PlacementTest : testing::Test {
+  PlacementTest() {
+    Llm.Name = "llm";
+    Llm.Engine = EngineTraits{};
+    Llm.Engine->MemoryTokens = 30'000;
+  }
+  Directory Servers;
+  Ledger Runs;
+  Service Llm;
+  Placement Placing{Servers, Runs, "a"};
+};
+
+TEST_F(PlacementTest, ChoosesTheEngineThatWillHoldLeast) {
+  Servers.put(Start, server("s1"));
+  Servers.put(Start, server("s2"));
+  LedgerRun long1 = run(1, "s1", 3'000);
+  long1.HasBegun = true;
+  Runs.begin(long1);
+  const Choice c = Placing.forGeneration(Start, Llm, {3'000, 1'000}, {});
+  ASSERT_NE(c.Chosen, nullptr);
+  EXPECT_EQ(c.Chosen->Listed.Id, "s2");
+  EXPECT_EQ(c.Candidates, 2);
+}
+
+TEST_F(PlacementTest, AvoidsEnginesWhoseMemoryWouldOverflow) {
+  Servers.put(Start, server("full", "llm", "a"));
+  Servers.put(Start, server("far", "llm", "b"));
+  for (RunId i = 0; i < 8; ++i) {
+    LedgerRun r = run(i, "full", 3'300);
+    r.HasBegun = true;
+    Runs.begin(r);
+  }
+  const Choice c = Placing.forGeneration(Start, Llm, {3'000, 1'000}, {});
+  EXPECT_EQ(c.Chosen->Listed.Id, "far");
+}
+
+TEST_F(PlacementTest, PrefersTheOwnZoneAmongEquals) {
+  Servers.put(Start, server("far", "llm", "b"));
+  Servers.put(Start, server("near", "llm", "a"));
+  EXPECT_EQ(Placing.forGeneration(Start, Llm, {100, 10}, {}).Chosen->Listed.Id,
+            "near");
+  // A move looks at the zone that the copy comes from.
+  EXPECT_EQ(
+      Placing.forGeneration(Start, Llm, {100, 10}, {}, "b").Chosen->Listed.Id,
+      "far");
+}
+
+TEST_F(PlacementTest, NeverChoosesLeavingOrTriedServers) {
+  Servers.put(Start, server("s1"));
+  Servers.put(Start, server("s2"));
+  Servers.markLeaving(Start, "s1");
+  const std::vector<std::string> tried{"s2"};
+  EXPECT_EQ(Placing.forGeneration(Start, Llm, {1, 1}, tried).Chosen, nullptr);
+  base::Random random(1);
+  EXPECT_EQ(Placing.forCall(Start, "llm", tried, random), nullptr);
+}
+
+TEST_F(PlacementTest, CallsGoWhereFewestAreOpen) {
+  Servers.put(Start, server("near", "shop", "a"));
+  Servers.put(Start, server("far", "shop", "b"));
+  base::Random random(1);
+  EXPECT_EQ(Placing.forCall(Start, "shop", {}, random)->Listed.Id, "near");
+  Servers.opened("near");
+  EXPECT_EQ(Placing.forCall(Start, "shop", {}, random)->Listed.Id, "far");
+  Servers.closed("near");
+  EXPECT_EQ(Placing.forCall(Start, "shop", {}, random)->Listed.Id, "near");
+}
+
+// Move plan.
+
+TEST(MovePlan, GatewaysAgreeOnOneOrder) {
+  std::vector<LedgerRun> there;
+  for (RunId i = 1; i <= 6; ++i)
+    there.push_back(run(i, "s", 1'000 + static_cast<std::uint32_t>(i % 3),
+                        i == 6 ? 40 : 2'000));
+  std::vector<RunId> order;
+  while (!there.empty()) {
+    std::vector<RunId> turns;
+    for (std::size_t i = 0; i < there.size(); ++i) {
+      // Each gateway sees the list in an order of its own.
+      std::vector<LedgerRun> seen = there;
+      std::rotate(seen.begin(), seen.begin() + static_cast<std::ptrdiff_t>(i),
+                  seen.end());
+      if (isTurn(seen, there[i]))
+        turns.push_back(there[i].Id);
+    }
+    ASSERT_EQ(turns.size(), 1U);
+    order.push_back(turns[0]);
+    std::erase_if(there, [&](const LedgerRun &r) { return r.Id == turns[0]; });
+  }
+  // What ends within the notice comes last.
+  EXPECT_EQ(order.back(), 6U);
+}
+
+TEST(MovePlan, ProgressDoesNotChangeTheOrder) {
+  LedgerRun a = run(1, "s", 1'000);
+  LedgerRun b = run(2, "s", 1'000);
+  const std::vector<LedgerRun> before{a, b};
+  const bool aFirst = isTurn(before, a);
+  a.MadeTokens = 500;
+  b.MadeTokens = 3;
+  b.HasBegun = true;
+  const std::vector<LedgerRun> after{a, b};
+  EXPECT_EQ(isTurn(after, a), aFirst);
+  EXPECT_NE(isTurn(after, b), aFirst);
+}
+
+TEST(MovePlan, CopiesTakeTheTimeOfTheirBytes) {
+  EngineTraits engine;
+  engine.BytesPerToken = 18'432;
+  engine.LinkMbps = 2'700;
+  const base::Duration near = copyTime(engine, 4'000, false);
+  EXPECT_NEAR(static_cast<double>(base::toMs(near)), 218, 1);
+  EXPECT_EQ(copyTime(engine, 4'000, true), 2 * near);
+  engine.LinkMbps = 0;
+  EXPECT_EQ(copyTime(engine, 4'000, false), base::Duration(0));
+}
+
+// Peers.
+
+wire::Gossip gossip(std::string address, std::uint64_t version = 0) {
+  wire::Gossip message;
+  message.set_name(address);
+  message.set_address(std::move(address));
+  message.set_config_version(version);
+  return message;
+}
+
+TEST(Peers, AreFoundFromSeedsAndFromEachOther) {
+  Peers peers({"own", {"10.0.0.1", 9}, 1, {{"10.0.0.2", 9}, {"10.0.0.1", 9}}});
+  // The own address is no peer.
+  ASSERT_EQ(peers.due(Start).size(), 1U);
+  EXPECT_TRUE(peers.live(Start).empty());
+  wire::Gossip message = gossip("10.0.0.2:9", 7);
+  message.add_peers("10.0.0.3:9");
+  message.add_peers("10.0.0.1:9");
+  message.add_peers("nonsense");
+  EXPECT_TRUE(peers.heard(Start, message));
+  ASSERT_EQ(peers.live(Start).size(), 1U);
+  EXPECT_EQ(peers.live(Start)[0].ConfigVersion, 7U);
+  EXPECT_EQ(peers.due(Start).size(), 2U);
+  EXPECT_FALSE(peers.heard(Start, gossip("10.0.0.1:9")));
+  EXPECT_FALSE(peers.heard(Start, gossip("garbage")));
+}
+
+TEST(Peers, SilentOnesAreToldSeldomAndStillCountForAWhile) {
+  Peers peers({"own", {"10.0.0.1", 9}, 1, {}});
+  peers.heard(Start, gossip("10.0.0.2:9"));
+  EXPECT_EQ(peers.gateways(Start), 2);
+  const base::Instant later = Start + seconds(5);
+  EXPECT_TRUE(peers.live(later).empty());
+  EXPECT_EQ(peers.gateways(later), 2);
+  EXPECT_EQ(peers.due(later).size(), 1U);
+  EXPECT_TRUE(peers.due(later + milliseconds(500)).empty());
+  EXPECT_EQ(peers.due(later + milliseconds(1'100)).size(), 1U);
+  EXPECT_TRUE(peers.due(Start + seconds(30)).empty());
+  EXPECT_EQ(peers.gateways(Start + seconds(30)), 1);
+}
+
+TEST(Peers, AGoodbyeEndsThePeer) {
+  Peers peers({"own", {"10.0.0.1", 9}, 1, {}});
+  wire::Gossip message = gossip("10.0.0.2:9");
+  peers.heard(Start, message);
+  message.set_is_last(true);
+  peers.heard(Start, message);
+  EXPECT_TRUE(peers.live(Start).empty());
+}
+
+// Event log.
+
+TEST(EventLog, LinesAreJsonWhateverCallersSend) {
+  int ends[2];
+  ASSERT_EQ(::pipe(ends), 0);
+  EventLog log("p", ends[1]);
+  log.write("test", {{"text", "a\"b\\c\n\x01"},
+                     {"number", -3},
+                     {"part", 0.5},
+                     {"flag", true}});
+  char buf[512];
+  const auto n = ::read(ends[0], buf, sizeof(buf));
+  ASSERT_GT(n, 0);
+  const auto json = nlohmann::json::parse(std::string(buf, buf + n));
+  EXPECT_EQ(json["text"], "a\"b\\c\n\x01");
+  EXPECT_EQ(json["number"], -3);
+  EXPECT_EQ(json["flag"], true);
+  ::close(ends[0]);
+  ::close(ends[1]);
+}
+
+TEST(EventLog, AReaderThatStopsCostsLinesAndNoTime) {
+  int ends[2];
+  ASSERT_EQ(::pipe(ends), 0);
+  ::fcntl(ends[0], F_SETFL, O_NONBLOCK);
+  EventLog log("p", ends[1]);
+  const std::string text(500, 'x');
+  for (int i = 0; i < 1'000; ++i)
+    log.write("test", {{"text", text}});
+  EXPECT_GT(log.dropped(), 0U);
+  std::string all;
+  char buf[4096];
+  for (ssize_t n = 0; (n = ::read(ends[0], buf, sizeof(buf))) > 0;)
+    all.append(buf, static_cast<std::size_t>(n));
+  log.write("after", {});
+  const auto n = ::read(ends[0], buf, sizeof(buf));
+  ASSERT_GT(n, 0);
+  const auto json = nlohmann::json::parse(std::string(buf, buf + n));
+  EXPECT_EQ(json["lines_dropped_before"], log.dropped());
+  ::close(ends[0]);
+  ::close(ends[1]);
+}
+
+} // namespace
+} // namespace drumlanding::gateway
--- /dev/null
+++ b/test/platform-test.cc
@@ -0,0 +1,255 @@
+// Tests of the adapter to the users' platform, by bytes.
+#include "platform/dialect.h"
+#include "platform/source.h"
+
+#include <gtest/gtest.h>
+
+namespace drumlanding::platform {
+namespace {
+
+using base::milliseconds;
+
+http::Request callersRequest() {
+  return {"POST",
+          "/shop/2f?x=1",
+          {{"Host", "a.example"},
+           {"X-Attempt-Id", "9c41"},
+           {"X-Api-Key", "secret"},
+           {"X-Deadline-Ms", "3000"},
+           {"X-Token-Usage", "1460,80"},
+           {"Length-Hint", "33"},
+           {"X-Model", "m"},
+           {"Connection", "keep-alive"},
+           {"Content-Length", "4"},
+           {"x-tenant", "forged"},
+           {"PRIORITY", "0"},
+           {"Kv-From", "10.0.0.1:1/x"},
+           {"Kv-Backup", "10.0.0.1:1"},
+           {"Hold", "h"},
+           {"Pin-Ms", "9"},
+           {"X-Expect-Instance", "forged"},
+           {"X-Other", "kept"}},
+          "body"};
+}
+
+std::vector<std::string_view> all(const http::Request &request,
+                                  std::string_view name) {
+  std::vector<std::string_view> values;
+  for (const http::Header &h : request.Headers)
+    if (http::equalIgnoringCase(h.Name, name))
+      values.push_back(h.Value);
+  return values;
+}
+
+TEST(Dialect, ReadsWhatACallerSays) {
+  const gateway::Dialect dialect = makeDialect();
+  const gateway::CallerRequest r = dialect.ReadRequest(callersRequest());
+  EXPECT_EQ(r.AttemptId, "9c41");
+  EXPECT_EQ(r.Host, "a.example");
+  EXPECT_EQ(r.Key, "secret");
+  EXPECT_EQ(r.Patience, milliseconds(3'000));
+  EXPECT_EQ(r.PromptTokens, 1'460U);
+  EXPECT_EQ(r.MostTokens, 80U);
+  EXPECT_EQ(r.ExpectedTokens, 33U);
+}
+
+TEST(Dialect, BadNumbersAreAsIfMissing) {
+  const gateway::Dialect dialect = makeDialect();
+  http::Request request{"GET",
+                        "/",
+                        {{"X-Deadline-Ms", "-5"},
+                         {"X-Token-Usage", "many"},
+                         {"Length-Hint", "9x"}},
+                        {}};
+  const gateway::CallerRequest r = dialect.ReadRequest(std::move(request));
+  EXPECT_FALSE(r.Patience);
+  EXPECT_EQ(r.PromptTokens, 0U);
+  EXPECT_EQ(r.ExpectedTokens, 0U);
+  EXPECT_TRUE(r.AttemptId.empty());
+}
+
+TEST(Dialect, ServersNeverSeeKeysOrForgedOrders) {
+  const gateway::Dialect dialect = makeDialect();
+  const gateway::CallerRequest r = dialect.ReadRequest(callersRequest());
+  gateway::ServerOrder order;
+  order.ServerId = "i-1";
+  order.TimeLeft = milliseconds(2'500);
+  order.Organisation = "school";
+  const http::Request out = dialect.ToServer(r, order);
+  EXPECT_EQ(out.Method, "POST");
+  EXPECT_EQ(out.Target, "/shop/2f?x=1");
+  EXPECT_EQ(out.Body, "body");
+  using Values = std::vector<std::string_view>;
+  EXPECT_EQ(all(out, "X-Api-Key"), Values{});
+  EXPECT_EQ(all(out, "X-Tenant"), Values{"school"});
+  EXPECT_EQ(all(out, "X-Expect-Instance"), Values{"i-1"});
+  EXPECT_EQ(all(out, "X-Deadline-Ms"), Values{"2500"});
+  EXPECT_EQ(all(out, "X-Attempt-Id"), Values{"9c41"});
+  EXPECT_EQ(all(out, "X-Token-Usage"), Values{"1460,80"});
+  EXPECT_EQ(all(out, "X-Other"), Values{"kept"});
+  EXPECT_EQ(all(out, "Host"), Values{"a.example"});
+  for (std::string_view name :
+       {"Priority", "Kv-From", "Kv-Backup", "Hold", "Pin-Ms", "Connection"})
+    EXPECT_EQ(all(out, name), Values{}) << name;
+}
+
+TEST(Dialect, PublicRequestsCarryNoOrganisation) {
+  const gateway::Dialect dialect = makeDialect();
+  const gateway::CallerRequest r = dialect.ReadRequest(callersRequest());
+  const http::Request out = dialect.ToServer(r, {});
+  EXPECT_TRUE(all(out, "X-Tenant").empty());
+}
+
+TEST(Dialect, AContinuationReplacesTheCallersPosition) {
+  const gateway::Dialect dialect = makeDialect();
+  http::Request request = callersRequest();
+  request.Headers.push_back({"Last-Event-Id", "1"});
+  const gateway::CallerRequest r = dialect.ReadRequest(std::move(request));
+  EXPECT_EQ(all(dialect.ToServer(r, {}), "Last-Event-Id").size(), 1U);
+  gateway::ServerOrder order;
+  order.From = gateway::Continuation{{"10.0.0.7", 80}, "h1", 41};
+  order.Priority = 2;
+  const http::Request out = dialect.ToServer(r, order);
+  using Values = std::vector<std::string_view>;
+  EXPECT_EQ(all(out, "Last-Event-Id"), Values{"41"});
+  EXPECT_EQ(all(out, "Kv-From"), Values{"10.0.0.7:80/h1"});
+  EXPECT_EQ(all(out, "Priority"), Values{"2"});
+}
+
+TEST(Dialect, TellsAnswersApart) {
+  const gateway::Dialect dialect = makeDialect();
+  const gateway::CallerRequest r = dialect.ReadRequest(callersRequest());
+  http::AnswerHead head{200,
+                        {{"X-Attempt-Id", "9c41"},
+                         {"X-Served-Stamp", "s"},
+                         {"Connection", "close"},
+                         {"Content-Length", "9"},
+                         {"Content-Type", "text/plain"}}};
+  gateway::ServerAnswer a = dialect.ReadAnswer(r, head);
+  EXPECT_TRUE(a.IsOwn && a.IsStamped && a.ClosesConnection);
+  EXPECT_FALSE(a.HasNotRun);
+  EXPECT_EQ(http::findHeader(a.Headers, "content-type"), "text/plain");
+  EXPECT_EQ(http::findHeader(a.Headers, "X-Served-Stamp"), "s");
+  EXPECT_EQ(http::findHeader(a.Headers, "Content-Length"), "");
+  head.Headers.push_back({"Content-Encoding", "gzip"});
+  EXPECT_FALSE(dialect.ReadAnswer(r, head).IsStamped);
+  EXPECT_FALSE(dialect.ReadAnswer(r, {200, {{"X-Attempt-Id", "other"}}}).IsOwn);
+  a = dialect.ReadAnswer(r, {503, {{"X-Not-Run", "1"}}});
+  EXPECT_TRUE(a.HasNotRun && !a.IsOtherServer);
+  a = dialect.ReadAnswer(r, {421, {}});
+  EXPECT_TRUE(a.HasNotRun && a.IsOtherServer);
+  // Without the word a refusal proves nothing.
+  EXPECT_FALSE(dialect.ReadAnswer(r, {503, {}}).HasNotRun);
+}
+
+TEST(Dialect, MovesAreAskedAndAnswered) {
+  const gateway::Dialect dialect = makeDialect();
+  const http::Request ask = dialect.ToMove({"9c41", {"10.0.0.2", 81}, true});
+  EXPECT_EQ(ask.Method, "POST");
+  EXPECT_NE(ask.Body.find("\"10.0.0.2:81\""), std::string::npos);
+  EXPECT_NE(ask.Body.find("\"last\":true"), std::string::npos);
+  EXPECT_EQ(dialect.ToMove({"9c41", {"10.0.0.2", 81}, false}).Body.find("last"),
+            std::string::npos);
+  using Outcome = gateway::MoveAnswer::Outcome;
+  const auto read = [&](int status, std::string body) {
+    return dialect.ReadMove(http::Response{status, "", std::move(body), {}});
+  };
+  const auto copied = read(200, R"({"handle":"h7","made":12})");
+  EXPECT_EQ(copied.What, Outcome::Copied);
+  EXPECT_EQ(copied.Handle, "h7");
+  EXPECT_EQ(copied.EventsMade, 12U);
+  EXPECT_EQ(read(200, R"({"handle":7})").Handle, "7");
+  EXPECT_EQ(read(404, "").What, Outcome::NoSuchRun);
+  EXPECT_EQ(read(409, "").What, Outcome::Busy);
+  EXPECT_EQ(read(503, R"({"handle":"h7"})").Handle, "h7");
+  EXPECT_EQ(read(500, "nonsense").What, Outcome::Failed);
+  EXPECT_EQ(
+      dialect.ReadMove(base::Error{base::ErrorCode::Unavailable, "", ""}).What,
+      Outcome::Failed);
+}
+
+TEST(Dialect, ReportsSayWhetherTheServerLeaves) {
+  const gateway::Dialect dialect = makeDialect();
+  const auto read = [&](std::string body) {
+    return dialect.ReadReport(http::Response{200, "", std::move(body), {}});
+  };
+  auto report = read(R"({"state":"draining","leaves_ms":1700.5,"waiting":1,
+                         "running":12,"kvUsed":41000,"kvTotal":90000})");
+  ASSERT_TRUE(ok(report));
+  EXPECT_TRUE(base::value(report).IsLeaving);
+  EXPECT_EQ(base::value(report).LeavesIn, milliseconds(1'700));
+  EXPECT_EQ(base::value(report).UsedTokens, 41'000U);
+  report = read(R"({"state":"ready"})");
+  ASSERT_TRUE(ok(report));
+  EXPECT_FALSE(base::value(report).IsLeaving);
+  EXPECT_FALSE(base::value(report).LeavesIn);
+  EXPECT_FALSE(ok(read("nonsense")));
+  EXPECT_FALSE(ok(read(R"({"running":"many"})")));
+}
+
+constexpr std::string_view SampleConfig = R"({"version":7,"routes":[
+  {"name":"r1","host":"a.example","pathPrefix":"/p/","kind":"streaming",
+   "timeoutMs":6000,"sloMs":1500,"priority":1,"backend":"llm",
+   "maxAttempts":1,"public":false,"sticky":true,"gap_aim_ms":180},
+  {"name":"r2","host":"a.example","pathPrefix":"/q/","kind":"idempotent",
+   "timeoutMs":1500,"sloMs":300,"priority":2,
+   "split":[{"backend":"shop","weight":90},{"backend":"shop2","weight":10}],
+   "maxAttempts":2,"public":true}],
+ "services":[
+  {"name":"llm","healthPath":"/healthz","maxConns":442,
+   "engine":{"slots":64,"kvCapTokens":34545,"kvTokenBytes":18432,
+             "linkMbps":2700.0,"moves":true,"backups":true,"stride":4}},
+  {"name":"shop","healthPath":"/h","maxConns":110}],
+ "limits":{"maxHeaderBytes":16384,"maxBodyBytes":4194304,
+           "headerTimeoutMs":3000,"idleTimeoutMs":15000},
+ "tenants":[{"name":"school","apiKeys":["k1","k2"],"priority":1}]})";
+
+TEST(Config, IsReadIntoTheGatewaysTypes) {
+  const auto read = decodeConfig(SampleConfig);
+  ASSERT_TRUE(ok(read)) << describe(error(read));
+  const gateway::Config &c = base::value(read);
+  EXPECT_EQ(c.Version, 7U);
+  ASSERT_EQ(c.Routes.size(), 2U);
+  EXPECT_EQ(c.Routes[0].Kind, gateway::RequestKind::Stream);
+  EXPECT_EQ(c.Routes[0].LongestPause, milliseconds(180));
+  EXPECT_EQ(c.Routes[0].Services[0].Service, "llm");
+  EXPECT_EQ(c.Routes[1].Kind, gateway::RequestKind::Idempotent);
+  EXPECT_TRUE(c.Routes[1].IsPublic);
+  EXPECT_EQ(c.Routes[1].MaxAttempts, 2);
+  ASSERT_EQ(c.Routes[1].Services.size(), 2U);
+  EXPECT_EQ(c.Routes[1].Services[1].Weight, 10);
+  ASSERT_NE(c.service("llm"), nullptr);
+  EXPECT_EQ(c.service("llm")->Engine->MemoryTokens, 34'545U);
+  EXPECT_TRUE(c.service("llm")->Engine->CanMove);
+  EXPECT_FALSE(c.service("shop")->Engine);
+  EXPECT_EQ(c.service("none"), nullptr);
+  EXPECT_EQ(c.Limits.IdleLimit, milliseconds(15'000));
+  EXPECT_EQ(c.Organisations[0].Keys.size(), 2U);
+  EXPECT_EQ(c.Organisations[0].Priority, 1);
+}
+
+TEST(Config, BrokenTextsAreErrors) {
+  for (std::string_view text :
+       {"", "{}", "[]", R"({"version":"x"})", R"({"version":1,"routes":[{}]})",
+        R"({"version":1,"routes":[],"services":[{"name":3}]})"})
+    EXPECT_FALSE(ok(decodeConfig(text))) << text;
+}
+
+TEST(ServerList, EntriesAreRead) {
+  const auto read = decodeServer(
+      "servers/i-7", R"({"backend":"llm","address":"10.1.2.3:80","zone":"a",
+                         "slots":64,"state":"draining","coldLeftMs":250})");
+  ASSERT_TRUE(ok(read));
+  const gateway::ListedServer &s = base::value(read);
+  EXPECT_EQ(s.Id, "i-7");
+  EXPECT_EQ(s.Service, "llm");
+  EXPECT_EQ(base::toString(s.Address), "10.1.2.3:80");
+  EXPECT_EQ(s.State, gateway::ServerState::Leaving);
+  EXPECT_EQ(s.ColdLeft, milliseconds(250));
+  EXPECT_FALSE(ok(decodeServer("servers/i-7", "{}")));
+  EXPECT_FALSE(ok(
+      decodeServer("servers/i-7", R"({"backend":"llm","address":"name:80"})")));
+}
+
+} // namespace
+} // namespace drumlanding::platform
