Count every arrival against the budget, tell of broken servers, let two follow the list

Change: arrivals count, also at ended servers, at most four; the successor that a 421 names is used when the process beside it has said its service; strikes are told to the others; two gateways follow the list, the rest fetch it from them when digests differ.

--- a/include/drumlanding/gateway/attempt-policy.h
+++ b/include/drumlanding/gateway/attempt-policy.h
@@ -34,6 +34,9 @@
   /// that had ended already does not count.
   int Sends = 0;
   int MaxSends = 1;
+  /// How often it has arrived at a server, ended ones too: each further time is
+  /// a retry.
+  int Arrivals = 0;
   /// An earlier attempt may have run.
   bool MayHaveRun = false;
   /// Enough time is left for another attempt.
@@ -42,6 +45,10 @@
   bool HasServer = true;
 };
 
+/// A request that has met so many servers, most of them ended, is refused: its
+/// caller can come back when the list is right again.
+inline constexpr int MostArrivals = 4;
+
 /// Returns what to do; `takeRetry` is asked only when a second send would
 /// follow, and takes it from the budget.
 template <typename TakeRetry>
@@ -52,9 +59,10 @@
       s.Kind == RequestKind::Idempotent || s.End == AttemptEnd::NotRun ||
       s.End == AttemptEnd::OtherServer || s.End == AttemptEnd::Unreachable;
   const bool isPossible = canRun && s.HasTime && s.HasServer;
-  if (isPossible && s.Sends == 0)
+  if (isPossible && s.Arrivals == 0)
     return Step::TryAnother;
-  if (isPossible && s.Sends < s.MaxSends && takeRetry())
+  if (isPossible && s.Sends < s.MaxSends && s.Arrivals < MostArrivals &&
+      takeRetry())
     return Step::TryAnother;
   if (s.End == AttemptEnd::Failed)
     return Step::Deliver;
--- a/include/drumlanding/gateway/dialect.h
+++ b/include/drumlanding/gateway/dialect.h
@@ -69,6 +69,8 @@
   bool HasNotRun = false;
   /// Another server answers at this address.
   bool IsOtherServer = false;
+  /// That server's id, if it says so.
+  std::string OtherServerId;
   /// The server closes its connections: it may be leaving.
   bool ClosesConnection = false;
   /// The headers to pass on.
--- a/include/drumlanding/gateway/directory.h
+++ b/include/drumlanding/gateway/directory.h
@@ -24,7 +24,8 @@
 /// How a request to a backend server ended, as far as it tells of the server.
 enum class ServerOutcome {
   Served,      ///< An answer of its own, whole.
-  Failed,      ///< An error, a broken answer, or none.
+  Failed,      ///< A failure of its own, whole.
+  Broken,      ///< A broken answer, or none.
   Refused,     ///< It said that it did not run the request.
   Unreachable, ///< No connection came about.
 };
@@ -41,16 +42,34 @@
   bool IsPlannedLeave = false;
   /// Another server answers at its address.
   bool IsReplaced = false;
+  /// The store lists it; false for one that was only met.
+  bool IsListed = false;
   /// The list lost it, perhaps only because the store was away.
   bool IsMissing = false;
   /// Recent failures as a part of recent outcomes; old ones fade.
   double FailurePart = 0;
+  /// Broken answers since the last whole one, here or at another gateway.
+  int Strikes = 0;
   /// Not chosen before this moment.
   base::Instant AvoidUntil{};
   /// Requests of this gateway in progress there.
   int Open = 0;
 };
 
+/// A server that a gateway avoids, as it tells the others.
+struct AvoidedServer {
+  std::string Id;
+  int Strikes = 0;
+  base::milliseconds Left{0};
+};
+
+/// The service that the process beside a server says it belongs to.
+struct AddressOwner {
+  std::string Service;
+  std::string Zone;
+  base::Instant HeardAt{};
+};
+
 class Directory {
 public:
   /// After the store's return, lapsed entries have this long to come back: the
@@ -68,6 +87,8 @@
   /// The whole list as the store has it.
   void replaceAll(base::Instant now, const std::vector<ListedServer> &servers);
   void put(base::Instant now, const ListedServer &server);
+  /// A server that the list does not hold yet has said who it is.
+  void meet(const ListedServer &server);
   /// The list no longer holds the server.
   void remove(base::Instant now, std::string_view id);
   /// The server itself, or another gateway, says that it is leaving.
@@ -79,7 +100,13 @@
   /// replaced there.
   bool knowsAddress(const base::Endpoint &address) const;
   /// Another server answered at its address: it has ended.
-  void markReplaced(base::Instant now, std::string_view id);
+  /// When the process beside it has said of late which service it belongs to,
+  /// the server that answered, `newId`, takes its place.
+  void markReplaced(base::Instant now, std::string_view id,
+                    const std::string &newId = {});
+  /// The process beside a server says which service it belongs to.
+  void noteOwner(base::Instant now, const base::Endpoint &address,
+                 std::string service, std::string zone);
 
   /// A call to the store failed, or one succeeded.
   void storeFailed(base::Instant now);
@@ -88,6 +115,10 @@
   void tick(base::Instant now);
 
   void note(base::Instant now, std::string_view id, ServerOutcome outcome);
+  /// Another gateway avoids a server.
+  void hearAvoided(base::Instant now, const AvoidedServer &avoided);
+  /// The servers that broken answers make this gateway avoid.
+  std::vector<AvoidedServer> avoided(base::Instant now) const;
   void opened(std::string_view id);
   void closed(std::string_view id);
 
@@ -98,6 +129,8 @@
                                      std::string_view service) const;
   /// Every server that is not gone, for other gateways.
   std::vector<ListedServer> list() const;
+  /// A number that is the same when two gateways have been told the same list.
+  std::uint64_t digest() const;
   /// True when the server at this address was found to be another one.
   bool isReplacedAt(const base::Endpoint &address) const;
   bool isEmpty() const { return Servers.empty(); }
@@ -108,6 +141,7 @@
   bool isGraceTime(base::Instant now) const;
 
   std::map<std::string, Server, std::less<>> Servers;
+  std::map<std::string, AddressOwner> Owners;
   bool IsStoreAway = false;
   base::Instant StoreFailedAt{};
   base::Instant StoreBackAt{};
--- a/include/drumlanding/gateway/peers.h
+++ b/include/drumlanding/gateway/peers.h
@@ -36,6 +36,9 @@
   std::uint64_t ConfigVersion = 0;
   /// When its list of servers was last heard from the store.
   base::Instant ListFrom{};
+  std::uint64_t ListDigest = 0;
+  /// It follows the store's list itself.
+  bool WatchesList = false;
 };
 
 class Peers {
@@ -52,6 +55,10 @@
 
   std::vector<Peer> live(base::Instant now) const;
 
+  /// True when this gateway is among the few that follow the store's list of
+  /// servers for all. While the others' lists are old, everyone follows it.
+  bool shouldWatchList(base::Instant now) const;
+
   /// Returns how many gateways may be sending requests, this one included:
   /// all heard lately, since one that is cut off goes on.
   int gateways(base::Instant now) const;
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -1,5 +1,7 @@
 #include "drumlanding/gateway/directory.h"
 
+#include "drumlanding/base/hash.h"
+
 #include <algorithm>
 #include <set>
 
@@ -13,9 +15,23 @@
 constexpr double MostFailures = 0.6;
 /// An avoided server is tried again after this.
 constexpr base::milliseconds AvoidTime{1'500};
+/// After a broken answer a server is avoided for this long, twice as long after
+/// each further one, and at most for MostAvoidTime: callers' requests are the
+/// only trials, since health answers may be wrong.
+constexpr base::milliseconds FirstAvoidTime{1'000};
+constexpr base::milliseconds MostAvoidTime{8'000};
+/// What a process beside a server says holds for so long; it says it each
+/// second.
+constexpr base::seconds OwnerTime{4};
 /// One that could not be reached gets no new work for this long.
 constexpr base::milliseconds UnreachableTime{1'000};
 
+base::milliseconds avoidTime(int strikes) {
+  constexpr int MostDoublings = 3;
+  const int doublings = std::clamp(strikes - 1, 0, MostDoublings);
+  return std::min(FirstAvoidTime * (1 << doublings), MostAvoidTime);
+}
+
 } // namespace
 
 void Directory::changed(std::string_view event, const Server &server) const {
@@ -37,6 +53,7 @@
   const auto it = Servers.find(listed.Id);
   if (it == Servers.end()) {
     const auto added = Servers.emplace(listed.Id, Server{listed}).first;
+    added->second.IsListed = true;
     changed("server-listed", added->second);
     if (listed.State == ServerState::Leaving)
       leave(now, added->second);
@@ -46,11 +63,18 @@
   if (server.IsMissing)
     changed("server-listed-again", server);
   server.IsMissing = false;
+  server.IsListed = true;
   server.Listed = listed;
   if (listed.State == ServerState::Leaving)
     leave(now, server);
 }
 
+void Directory::meet(const ListedServer &listed) {
+  const auto [it, isNew] = Servers.try_emplace(listed.Id, Server{listed});
+  if (isNew)
+    changed("server-met", it->second);
+}
+
 bool Directory::isGraceTime(base::Instant now) const {
   return IsStoreAway || (StoreBackAt != base::Instant{} &&
                          now - StoreBackAt < GraceAfterReturn);
@@ -110,12 +134,28 @@
   });
 }
 
-void Directory::markReplaced(base::Instant now, std::string_view id) {
+void Directory::noteOwner(base::Instant now, const base::Endpoint &address,
+                          std::string service, std::string zone) {
+  Owners[base::toString(address)] = {std::move(service), std::move(zone), now};
+}
+
+void Directory::markReplaced(base::Instant now, std::string_view id,
+                             const std::string &newId) {
   const auto it = Servers.find(id);
   if (it == Servers.end())
     return;
   it->second.IsReplaced = true;
   leave(now, it->second);
+  const ListedServer &old = it->second.Listed;
+  const auto owner = Owners.find(base::toString(old.Address));
+  if (newId.empty() || owner == Owners.end() ||
+      now - owner->second.HeardAt > OwnerTime ||
+      owner->second.Service != old.Service)
+    return;
+  ListedServer successor = old;
+  successor.Id = newId;
+  successor.State = ServerState::Ready;
+  meet(successor);
 }
 
 bool Directory::isReplacedAt(const base::Endpoint &address) const {
@@ -153,6 +193,14 @@
   if (it == Servers.end())
     return;
   Server &server = it->second;
+  if (outcome == ServerOutcome::Broken) {
+    ++server.Strikes;
+    server.AvoidUntil = now + avoidTime(server.Strikes);
+    changed("server-avoided", server);
+    return;
+  }
+  if (outcome == ServerOutcome::Served)
+    server.Strikes = 0;
   if (outcome == ServerOutcome::Unreachable) {
     server.AvoidUntil = now + UnreachableTime;
     changed("server-unreachable", server);
@@ -168,6 +216,25 @@
   changed("server-avoided", server);
 }
 
+void Directory::hearAvoided(base::Instant now, const AvoidedServer &avoided) {
+  const auto it = Servers.find(avoided.Id);
+  if (it == Servers.end() || avoided.Strikes <= it->second.Strikes)
+    return;
+  it->second.Strikes = avoided.Strikes;
+  it->second.AvoidUntil =
+      std::max(it->second.AvoidUntil, now + std::min(avoided.Left, MostAvoidTime));
+  changed("server-avoided", it->second);
+}
+
+std::vector<AvoidedServer> Directory::avoided(base::Instant now) const {
+  std::vector<AvoidedServer> avoided;
+  for (const auto &[id, server] : Servers)
+    if (server.Strikes > 0 && server.AvoidUntil > now)
+      avoided.push_back({id, server.Strikes,
+                         base::milliseconds(base::toMs(server.AvoidUntil - now))});
+  return avoided;
+}
+
 void Directory::opened(std::string_view id) {
   const auto it = Servers.find(id);
   if (it != Servers.end())
@@ -200,7 +267,7 @@
 std::vector<ListedServer> Directory::list() const {
   std::vector<ListedServer> servers;
   for (const auto &[id, server] : Servers) {
-    if (server.IsMissing)
+    if (server.IsMissing || !server.IsListed)
       continue;
     servers.push_back(server.Listed);
     if (server.IsLeaving)
@@ -209,4 +276,15 @@
   return servers;
 }
 
+std::uint64_t Directory::digest() const {
+  std::uint64_t digest = 0;
+  for (const auto &[id, server] : Servers) {
+    if (server.IsMissing || !server.IsListed)
+      continue;
+    const bool isReady = server.Listed.State == ServerState::Ready;
+    digest = base::mix64(digest, base::hash64(id, isReady ? 1 : 2));
+  }
+  return digest;
+}
+
 } // namespace drumlanding::gateway
--- a/src/gateway/forwarding.cc
+++ b/src/gateway/forwarding.cc
@@ -80,6 +80,7 @@
   if (f.TheService->Engine)
     order.Priority = f.priority();
   order.From = from;
+  ++f.Arrivals;
   f.Connection->send(f.W.Words.ToServer(f.Request, order));
 }
 
@@ -131,6 +132,7 @@
   state.End = attempt.End;
   state.Kind = f.TheRoute->Kind;
   state.Sends = f.Sends;
+  state.Arrivals = f.Arrivals;
   state.MaxSends = f.TheRoute->MaxAttempts;
   state.MayHaveRun = f.MayHaveRun;
   state.HasTime = f.timeLeft() > LeastTime && !f.isOver();
@@ -182,9 +184,11 @@
   case AttemptEnd::Served:
     break;
   case AttemptEnd::Failed:
-  case AttemptEnd::Broken:
     outcome = ServerOutcome::Failed;
     break;
+  case AttemptEnd::Broken:
+    outcome = ServerOutcome::Broken;
+    break;
   case AttemptEnd::NotRun:
     outcome = ServerOutcome::Refused;
     break;
@@ -192,7 +196,7 @@
     outcome = ServerOutcome::Unreachable;
     break;
   case AttemptEnd::OtherServer:
-    f.W.Servers.markReplaced(f.W.now(), server);
+    f.W.Servers.markReplaced(f.W.now(), server, attempt.OtherServerId);
     return;
   }
   f.W.Servers.note(f.W.now(), server, outcome);
--- a/src/gateway/forwarding.h
+++ b/src/gateway/forwarding.h
@@ -39,6 +39,8 @@
   /// The servers that it was sent to or that could not be reached.
   std::vector<std::string> Tried;
   int Sends = 0;
+  /// How often it has arrived at a server, ended ones too.
+  int Arrivals = 0;
   bool MayHaveRun = false;
   bool IsLate = false;
   bool HasCallerLeft = false;
@@ -68,6 +70,8 @@
   /// For the log.
   std::string Why;
   std::optional<WholeAnswer> Answer;
+  /// The server that is at the address instead, if it says so.
+  std::string OtherServerId;
 };
 
 /// Connects to a server within the time that is left; null when no connection
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -170,7 +170,15 @@
                                  ? base::Instant(base::Duration{0})
                                  : W.ListFrom;
   message.set_list_age_ms(static_cast<std::uint64_t>(base::toMs(now - from)));
+  message.set_list_digest(W.Servers.digest());
+  message.set_watches_list(W.WatchesList);
   message.set_is_last(isLast);
+  for (const AvoidedServer &avoided : W.Servers.avoided(now)) {
+    wire::Avoided &out = *message.add_avoided();
+    out.set_server(avoided.Id);
+    out.set_strikes(static_cast<std::uint32_t>(avoided.Strikes));
+    out.set_left_ms(static_cast<std::uint64_t>(avoided.Left.count()));
+  }
   for (const Peer &peer : W.Others.live(now))
     message.add_peers(base::toString(peer.Address));
   for (const LedgerRun &run : W.Runs.ownRuns())
@@ -196,6 +204,7 @@
   const auto address = base::parseEndpoint("engine", notice.address());
   if (!ok(address))
     return;
+  W.Servers.noteOwner(now, value(address), notice.service(), notice.zone());
   if (notice.is_leaving())
     W.Servers.noticeLeaving(now, value(address),
                             milliseconds(notice.leaves_in_ms()));
@@ -233,8 +242,7 @@
   found.Id = W.Words.ReadHealth(value(fetched.Answer));
   if (found.Id.empty() || W.Servers.find(found.Id))
     co_return;
-  W.Servers.put(W.now(), found);
-  W.Log.write("server-met", {{"server", found.Id}, {"address", address}});
+  W.Servers.meet(found);
 }
 
 void Gossip::take(std::string_view datagram, const udp::endpoint &from) {
@@ -255,6 +263,20 @@
   W.Runs.takePeer(now, message.address(), std::move(runs));
   for (const std::string &id : message.leaving_servers())
     W.Servers.markLeaving(now, id);
+  for (const wire::Avoided &avoided : message.avoided())
+    W.Servers.hearAvoided(now, {avoided.server(),
+                                static_cast<int>(avoided.strikes()),
+                                milliseconds(avoided.left_ms())});
+  hearList(now, message);
+}
+
+/// A gateway that follows the store's list has the same one: it is as fresh
+/// as theirs.
+void Gossip::hearList(base::Instant now, const wire::Gossip &message) {
+  if (!message.watches_list() || message.list_digest() != W.Servers.digest())
+    return;
+  W.ListFrom =
+      std::max(W.ListFrom, now - milliseconds(message.list_age_ms()));
 }
 
 asio::awaitable<void> Gossip::catchUp() {
@@ -264,13 +286,16 @@
     W.Runs.tick(now);
     W.Servers.tick(now);
     const std::uint64_t version = W.Routes ? W.Routes->config().Version : 0;
-    const bool isListOld = now - W.ListFrom > ListIsOld;
+    W.WatchesList = W.Others.shouldWatchList(now);
     for (const Peer &peer : W.Others.live(now)) {
       if (peer.ConfigVersion > version) {
         co_await fetchConfig(peer);
         break;
       }
-      if (isListOld && peer.ListFrom - W.ListFrom > ListIsNewer) {
+      const bool isOther = peer.WatchesList && !W.WatchesList &&
+                           peer.ListDigest != W.Servers.digest();
+      const bool isFresh = now - peer.ListFrom < ListIsOld;
+      if ((isOther && isFresh) || peer.ListFrom - W.ListFrom > ListIsNewer) {
         co_await fetchServers(peer);
         break;
       }
@@ -302,8 +327,6 @@
   }
   const base::Instant now = W.now();
   const base::Instant listFrom = now - milliseconds(list.age_ms());
-  if (listFrom <= W.ListFrom)
-    co_return;
   W.Servers.replaceAll(now, fromWire(list));
   W.ListFrom = listFrom;
   W.Log.write("servers-from-peer", {{"peer", from.Name},
--- a/src/gateway/gossip.h
+++ b/src/gateway/gossip.h
@@ -32,6 +32,7 @@
   void take(std::string_view datagram, const asio::ip::udp::endpoint &from);
   void takeNotice(const wire::Gossip &message,
                   const asio::ip::udp::endpoint &from);
+  void hearList(base::Instant now, const wire::Gossip &message);
   asio::awaitable<void> meetServer(ListedServer found);
   asio::awaitable<void> catchUp();
   asio::awaitable<void> fetchConfig(Peer from);
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -1,5 +1,6 @@
 #include "drumlanding/gateway/peers.h"
 
+#include "drumlanding/base/hash.h"
 #include "gateway.pb.h"
 
 #include <algorithm>
@@ -12,6 +13,11 @@
 constexpr base::milliseconds LiveTime{3'000};
 /// One that was heard within this time still counts for shared limits.
 constexpr base::seconds CountTime{15};
+/// Gateways that follow the store's list: two, so that one can fail.
+constexpr int Watchers = 2;
+/// A gateway whose list is older than this does not count: news of the store
+/// come several times a second.
+constexpr base::milliseconds ListIsOld{1'500};
 /// How often silent addresses are tried.
 constexpr base::milliseconds TryEvery{1'000};
 /// An address that never answers is dropped, unless it is a seed.
@@ -46,6 +52,8 @@
   peer.Incarnation = gossip.incarnation();
   peer.HeardAt = now;
   peer.ConfigVersion = gossip.config_version();
+  peer.ListDigest = gossip.list_digest();
+  peer.WatchesList = gossip.watches_list();
   peer.ListFrom = now - base::milliseconds(gossip.list_age_ms());
   for (const std::string &other : gossip.peers()) {
     const auto endpoint = base::parseEndpoint("peer", other);
@@ -85,6 +93,20 @@
   return live;
 }
 
+bool Peers::shouldWatchList(base::Instant now) const {
+  const std::vector<Peer> others = live(now);
+  const std::uint64_t own = base::hash64(base::toString(Options.Own));
+  int before = 0;
+  int watching = 0;
+  for (const Peer &peer : others) {
+    if (now - peer.ListFrom > ListIsOld)
+      continue;
+    watching += peer.WatchesList ? 1 : 0;
+    before += base::hash64(base::toString(peer.Address)) < own ? 1 : 0;
+  }
+  return before < Watchers || watching == 0;
+}
+
 int Peers::gateways(base::Instant now) const {
   const auto n =
       std::count_if(Contacts.begin(), Contacts.end(), [&](const auto &entry) {
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -11,6 +11,11 @@
 /// out of, and an engine with many generations cannot be left in time. With
 /// this figure one more long generation weighs as much as its prompt's wait.
 constexpr double HoldMsPerToken = 0.06;
+/// Cost of a server that fails, by the part of its recent answers, and of each
+/// broken answer since its last whole one: an engine that breaks everything off
+/// is the emptiest of all.
+constexpr double FailureMs = 2'000;
+constexpr double StrikeMs = 500;
 /// Above this part of its memory an engine begins to preempt.
 constexpr double MemoryLimit = 0.92;
 /// Cost of each token above that limit: a preempted generation is read anew.
@@ -20,6 +25,10 @@
 /// Copies between zones take twice as long.
 constexpr double OtherZoneCopyMs = 400;
 
+/// The same for plain servers, in open requests.
+constexpr double FailureRank = 2;
+constexpr double StrikeRank = 1;
+
 bool wasTried(std::span<const std::string> tried, const std::string &id) {
   return std::find(tried.begin(), tried.end(), id) != tried.end();
 }
@@ -33,6 +42,7 @@
   double cost = static_cast<double>(load.UnreadTokens) * ReadMsPerToken;
   cost += static_cast<double>(load.ForecastTokens) * HoldMsPerToken;
   cost += static_cast<double>(server.Listed.ColdLeft.count());
+  cost += server.FailurePart * FailureMs + server.Strikes * StrikeMs;
   const double room = MemoryLimit * static_cast<double>(engine.MemoryTokens) -
                       static_cast<double>(load.ForecastTokens) - prompt -
                       demand.ExpectedTokens;
@@ -73,7 +83,9 @@
       continue;
     // Below one open request: first the zone, then chance.
     const double tie = server->Listed.Zone == Zone ? 0 : 0.5;
-    const double rank = server->Open + tie + random.unit() * 0.4;
+    const double rank = server->Open + tie + random.unit() * 0.4 +
+                        server->FailurePart * FailureRank +
+                        server->Strikes * StrikeRank;
     if (best && rank >= bestRank)
       continue;
     best = server;
--- a/src/gateway/store-watch.cc
+++ b/src/gateway/store-watch.cc
@@ -56,6 +56,7 @@
 
 void apply(World &world, const ServerChanges &changes) {
   const base::Instant now = world.now();
+  const std::uint64_t before = world.Servers.digest();
   for (const ServerChange &change : changes.Changes) {
     if (change.Listed)
       world.Servers.put(now, *change.Listed);
@@ -63,6 +64,8 @@
       world.Servers.remove(now, change.Id);
   }
   world.ListFrom = now;
+  if (world.Servers.digest() != before && world.TellPeers)
+    world.TellPeers();
 }
 
 void applyAll(World &world, const ServerChanges &list) {
@@ -74,7 +77,8 @@
   world.ListFrom = world.now();
 }
 
-/// Follows changes from a revision until the watch fails.
+/// Follows changes from a revision until the watch fails, or until others do it
+/// for this gateway.
 asio::awaitable<base::Error> followConfig(World &world, StoreHealth &health,
                                           std::uint64_t revision) {
   for (;;) {
@@ -90,7 +94,7 @@
 
 asio::awaitable<base::Error> followServers(World &world, StoreHealth &health,
                                            std::uint64_t revision) {
-  for (;;) {
+  do {
     co_await sleepFor(GatherTime);
     const auto news = co_await world.From.WatchServers(revision, WatchWait);
     if (!ok(news))
@@ -98,7 +102,8 @@
     health.answered();
     revision = value(news).Revision;
     apply(world, value(news));
-  }
+  } while (world.WatchesList);
+  co_return base::Error{base::ErrorCode::NotFound, "servers", "others watch"};
 }
 
 } // namespace
@@ -127,6 +132,11 @@
 asio::awaitable<void> watchServers(World &world) {
   StoreHealth health(world, "servers");
   for (;;) {
+    // The others' lists reach this gateway through them.
+    if (!world.WatchesList && !world.Servers.isEmpty()) {
+      co_await sleepFor(GatherTime);
+      continue;
+    }
     const auto read = co_await world.From.ReadServers();
     if (!ok(read)) {
       const milliseconds pause = health.failed(error(read));
--- a/src/gateway/stream-forwarder.cc
+++ b/src/gateway/stream-forwarder.cc
@@ -96,6 +96,7 @@
     attempt.Why = "a failure that is not whole";
     co_return attempt;
   }
+  attempt.OtherServerId = Head.OtherServerId;
   attempt.Answer = WholeAnswer{Head, std::move(*body)};
   co_return attempt;
 }
--- a/src/gateway/world.h
+++ b/src/gateway/world.h
@@ -70,6 +70,9 @@
   std::string ConfigText;
   /// When the list of servers was last heard from the store, by whomever.
   base::Instant ListFrom{};
+  /// This gateway follows the store's list itself, as it does until others are
+  /// known to do it.
+  bool WatchesList = true;
   bool IsLeaving = false;
   /// When the process was told to stop.
   base::Instant LeavingSince{};
--- a/test/gateway-test.cc
+++ b/test/gateway-test.cc
@@ -184,6 +184,65 @@
   EXPECT_EQ(d.usable(Start, "llm").size(), 2U);
 }
 
+/// A server that resets everything is the emptiest of all: every gateway must
+/// hear of it after the first broken answer.
+TEST(Directory, ABrokenAnswerIsToldToTheOthers) {
+  Directory here;
+  Directory there;
+  for (Directory *d : {&here, &there}) {
+    d->put(Start, server("s1"));
+    d->put(Start, server("s2"));
+  }
+  here.note(Start, "s1", ServerOutcome::Broken);
+  ASSERT_EQ(here.avoided(Start).size(), 1U);
+  there.hearAvoided(Start, here.avoided(Start)[0]);
+  EXPECT_EQ(there.usable(Start, "llm").size(), 1U);
+  EXPECT_EQ(there.usable(Start + seconds(2), "llm").size(), 2U);
+  // Again: twice as long. What is known already does not put it off.
+  there.note(Start + seconds(2), "s1", ServerOutcome::Broken);
+  EXPECT_EQ(there.usable(Start + milliseconds(3'900), "llm").size(), 1U);
+  there.hearAvoided(Start + seconds(3), {"s1", 1, milliseconds(9'000)});
+  EXPECT_EQ(there.usable(Start + milliseconds(4'100), "llm").size(), 2U);
+  there.note(Start + seconds(5), "s1", ServerOutcome::Served);
+  EXPECT_EQ(there.find("s1")->Strikes, 0);
+}
+
+TEST(Directory, ASuccessorIsMetWhenItsServiceIsCertain) {
+  Directory d;
+  d.put(Start, server("s1", "llm", "a", 1));
+  d.put(Start, server("s2", "llm", "a", 2));
+  d.put(Start, server("s3", "llm", "a", 3));
+  d.noteOwner(Start, {"10.0.0.1", 1}, "llm", "a");
+  d.noteOwner(Start, {"10.0.0.1", 2}, "other", "a");
+  d.markReplaced(Start + seconds(1), "s1", "n1");
+  d.markReplaced(Start + seconds(1), "s2", "n2");
+  d.markReplaced(Start + seconds(1), "s3", "n3");
+  const auto usable = d.usable(Start + seconds(1), "llm");
+  ASSERT_EQ(usable.size(), 1U);
+  EXPECT_EQ(usable[0]->Listed.Id, "n1");
+  // The list does not hold it yet: others are not told of it.
+  EXPECT_EQ(d.list().size(), 3U);
+}
+
+TEST(Directory, DigestsTellListsApart) {
+  Directory a;
+  Directory b;
+  for (Directory *d : {&a, &b}) {
+    d->put(Start, server("s1"));
+    d->put(Start, server("s2"));
+  }
+  EXPECT_EQ(a.digest(), b.digest());
+  // What a gateway knows besides does not change what it was told.
+  a.markLeaving(Start, "s1");
+  a.meet(server("s9"));
+  EXPECT_EQ(a.digest(), b.digest());
+  b.put(Start, server("s1", "llm", "a"));
+  ListedServer leaving = server("s1");
+  leaving.State = ServerState::Leaving;
+  b.put(Start, leaving);
+  EXPECT_NE(a.digest(), b.digest());
+}
+
 TEST(Directory, OrdinaryFailuresDoNotCount) {
   Directory d;
   d.put(Start, server("s1"));
@@ -229,6 +288,7 @@
     state.End = c.End;
     state.Kind = c.Kind;
     state.Sends = c.Sends;
+    state.Arrivals = c.End == AttemptEnd::OtherServer ? 1 : c.Sends;
     state.MaxSends = c.MaxSends;
     state.MayHaveRun = c.MayHaveRun;
     EXPECT_EQ(nextStep(state, [] { return true; }), c.Expected)
@@ -247,6 +307,7 @@
           s.End = static_cast<AttemptEnd>(end);
           s.Kind = static_cast<RequestKind>(kind);
           s.Sends = sends;
+          s.Arrivals = sends;
           s.MaxSends = 2;
           s.MayHaveRun = (bits & 1) != 0;
           s.HasTime = (bits & 2) != 0;
@@ -273,6 +334,7 @@
   s.End = AttemptEnd::Broken;
   s.Kind = RequestKind::Idempotent;
   s.Sends = 1;
+  s.Arrivals = 1;
   s.MaxSends = 2;
   int taken = 0;
   const auto take = [&] { return ++taken > 0; };
@@ -287,6 +349,20 @@
   EXPECT_EQ(taken, 1);
 }
 
+/// A power loss of everything changes all servers at once: 841 arrivals beyond
+/// the first in 10 s, where 232 were allowed.
+TEST(AttemptPolicy, EndedServersDrawOnTheBudgetToo) {
+  AttemptState s;
+  s.End = AttemptEnd::OtherServer;
+  s.Kind = RequestKind::Stream;
+  s.Sends = 0;
+  s.Arrivals = 1;
+  EXPECT_EQ(nextStep(s, [] { return false; }), Step::RefuseNotRun);
+  EXPECT_EQ(nextStep(s, [] { return true; }), Step::TryAnother);
+  s.Arrivals = MostArrivals;
+  EXPECT_EQ(nextStep(s, [] { return true; }), Step::RefuseNotRun);
+}
+
 // Retry budget.
 
 TEST(RetryBudget, StaysBelowItsPartOfEveryWindow) {
@@ -542,6 +618,40 @@
   EXPECT_EQ(peers.gateways(Start + seconds(30)), 1);
 }
 
+TEST(Peers, AFewFollowTheListForAll) {
+  constexpr int Gateways = 9;
+  const auto address = [](int i) {
+    return base::Endpoint{"10.0.0." + std::to_string(i), 9};
+  };
+  std::vector<std::unique_ptr<Peers>> all;
+  for (int i = 0; i < Gateways; ++i)
+    all.push_back(std::make_unique<Peers>(PeersOptions{
+        std::to_string(i), address(i), 1, std::vector<base::Endpoint>{}}));
+  std::vector<bool> watches(Gateways, true);
+  const auto talk = [&](base::Instant now, int cutOff) {
+    for (int from = 0; from < Gateways; ++from)
+      for (int to = 0; to < Gateways; ++to) {
+        wire::Gossip message = gossip(base::toString(address(from)));
+        message.set_watches_list(watches[from]);
+        message.set_list_age_ms(from == cutOff ? 5'000 : 0);
+        if (from != to)
+          all[to]->heard(now, message);
+      }
+    for (int i = 0; i < Gateways; ++i)
+      watches[i] = all[i]->shouldWatchList(now);
+  };
+  talk(Start, -1);
+  talk(Start, -1);
+  EXPECT_EQ(std::count(watches.begin(), watches.end(), true), 2);
+  // One of them is turned away by the store: another takes its place.
+  const auto first = std::find(watches.begin(), watches.end(), true);
+  const int cutOff = static_cast<int>(first - watches.begin());
+  talk(Start, cutOff);
+  const auto others = std::count(watches.begin(), watches.end(), true) -
+                      (watches[cutOff] ? 1 : 0);
+  EXPECT_EQ(others, 2);
+}
+
 TEST(Peers, AGoodbyeEndsThePeer) {
   Peers peers({"own", {"10.0.0.1", 9}, 1, {}});
   wire::Gossip message = gossip("10.0.0.2:9");
