Let sidecars say who their engine is; forget strikes; share the allowance after a restart

Change: a sidecar asks its engine's health page for its id and tells it; reading the list leaves such servers alone; cold time passes; many gateways are assumed for 4 s after a start; strikes fade.

--- a/include/drumlanding/gateway/config.h
+++ b/include/drumlanding/gateway/config.h
@@ -69,8 +69,6 @@
 
 struct Service {
   std::string Name;
-  /// Where its servers say whether they are well.
-  std::string HealthPath;
   /// Most connections that one backend server takes, from all callers.
   int MaxConnections = 0;
   /// Empty for plain services.
--- a/include/drumlanding/gateway/dialect.h
+++ b/include/drumlanding/gateway/dialect.h
@@ -69,8 +69,6 @@
   bool HasNotRun = false;
   /// Another server answers at this address.
   bool IsOtherServer = false;
-  /// That server's id, if it says so.
-  std::string OtherServerId;
   /// The server closes its connections: it may be leaving.
   bool ClosesConnection = false;
   /// The headers to pass on.
@@ -123,8 +121,8 @@
   std::function<http::Request(std::string_view handle)> ToFreeCopy;
   std::function<http::Request()> ToReport;
   std::function<base::Result<ServerReport>(const http::Response &)> ReadReport;
-  /// Reads the id of a server from its answer at the health path; empty when
-  /// it is not well.
+  std::function<http::Request()> ToHealth;
+  /// Reads a server's id from its health answer; empty when it is not well.
   std::function<std::string(const http::Response &)> ReadHealth;
   /// The path at which a caller's balancer asks whether the gateway is ready.
   std::string ReadyPath;
--- a/include/drumlanding/gateway/directory.h
+++ b/include/drumlanding/gateway/directory.h
@@ -36,6 +36,8 @@
   bool IsLeaving = false;
   /// When it was first known to leave.
   base::Instant LeavingSince{};
+  /// It is slow until then.
+  base::Instant ColdUntil{};
   /// When it will be gone; unset when unknown.
   base::Instant GoneAt{};
   /// It said that it leaves, and gave no time: it serves as long as planned.
@@ -56,6 +58,10 @@
   int Open = 0;
 };
 
+/// Returns the strikes that still count: they are forgotten some time after the
+/// server was last avoided, or it would never be tried again.
+int strikesOf(const Server &server, base::Instant now);
+
 /// A server that a gateway avoids, as it tells the others.
 struct AvoidedServer {
   std::string Id;
@@ -63,11 +69,13 @@
   base::milliseconds Left{0};
 };
 
-/// The service that the process beside a server says it belongs to.
-struct AddressOwner {
-  std::string Service;
-  std::string Zone;
-  base::Instant HeardAt{};
+/// What the process beside a server says of it.
+struct ServerNotice {
+  /// The server as it would be listed.
+  ListedServer Seen;
+  bool IsLeaving = false;
+  /// How long until it is gone; 0 when it does not say.
+  base::milliseconds LeavesIn{0};
 };
 
 class Directory {
@@ -87,26 +95,15 @@
   /// The whole list as the store has it.
   void replaceAll(base::Instant now, const std::vector<ListedServer> &servers);
   void put(base::Instant now, const ListedServer &server);
-  /// A server that the list does not hold yet has said who it is.
-  void meet(const ListedServer &server);
   /// The list no longer holds the server.
   void remove(base::Instant now, std::string_view id);
   /// The server itself, or another gateway, says that it is leaving.
   void markLeaving(base::Instant now, std::string_view id);
-  /// The server at an address says that it is leaving, and perhaps when.
-  void noticeLeaving(base::Instant now, const base::Endpoint &address,
-                     base::milliseconds leavesIn);
-  /// True when a listed server has this address, and is not known to have been
-  /// replaced there.
-  bool knowsAddress(const base::Endpoint &address) const;
+  /// The process beside a server tells of it: who it is, perhaps before the
+  /// list knows, and that it is leaving.
+  void hearNotice(base::Instant now, const ServerNotice &notice);
   /// Another server answered at its address: it has ended.
-  /// When the process beside it has said of late which service it belongs to,
-  /// the server that answered, `newId`, takes its place.
-  void markReplaced(base::Instant now, std::string_view id,
-                    const std::string &newId = {});
-  /// The process beside a server says which service it belongs to.
-  void noteOwner(base::Instant now, const base::Endpoint &address,
-                 std::string service, std::string zone);
+  void markReplaced(base::Instant now, std::string_view id);
 
   /// A call to the store failed, or one succeeded.
   void storeFailed(base::Instant now);
@@ -127,21 +124,21 @@
   /// are avoided for failing, returns them all the same.
   std::vector<const Server *> usable(base::Instant now,
                                      std::string_view service) const;
-  /// Every server that is not gone, for other gateways.
+  /// The list as it was told, for other gateways.
   std::vector<ListedServer> list() const;
+  /// The servers known to be leaving, by whatever way.
+  std::vector<std::string> leaving() const;
   /// A number that is the same when two gateways have been told the same list.
   std::uint64_t digest() const;
-  /// True when the server at this address was found to be another one.
-  bool isReplacedAt(const base::Endpoint &address) const;
   bool isEmpty() const { return Servers.empty(); }
 
 private:
   void leave(base::Instant now, Server &server);
+  void meet(base::Instant now, const ListedServer &seen);
   void changed(std::string_view event, const Server &server) const;
   bool isGraceTime(base::Instant now) const;
 
   std::map<std::string, Server, std::less<>> Servers;
-  std::map<std::string, AddressOwner> Owners;
   bool IsStoreAway = false;
   base::Instant StoreFailedAt{};
   base::Instant StoreBackAt{};
--- a/include/drumlanding/gateway/peers.h
+++ b/include/drumlanding/gateway/peers.h
@@ -43,7 +43,7 @@
 
 class Peers {
 public:
-  explicit Peers(PeersOptions options);
+  Peers(base::Instant now, PeersOptions options);
 
   /// Notes a message from another gateway; false when it is our own or says
   /// nothing of use.
@@ -60,7 +60,8 @@
   bool shouldWatchList(base::Instant now) const;
 
   /// Returns how many gateways may be sending requests, this one included:
-  /// all heard lately, since one that is cut off goes on.
+  /// all heard lately, since one that is cut off goes on, and many for a while
+  /// after the start, when nobody has been heard yet.
   int gateways(base::Instant now) const;
 
 private:
@@ -73,6 +74,7 @@
   void add(base::Instant now, const base::Endpoint &address);
 
   PeersOptions Options;
+  base::Instant StartedAt;
   /// By address.
   std::map<std::string, Contact> Contacts;
 };
--- a/include/drumlanding/gateway/placement.h
+++ b/include/drumlanding/gateway/placement.h
@@ -48,9 +48,9 @@
                         base::Random &random) const;
 
 private:
-  double costOf(const Server &server, const EngineTraits &engine,
-                const EngineLoad &load, const Demand &demand,
-                std::string_view near) const;
+  double costOf(base::Instant now, const Server &server,
+                const EngineTraits &engine, const EngineLoad &load,
+                const Demand &demand, std::string_view near) const;
 
   const Directory &Servers;
   const Ledger &Runs;
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -20,9 +20,8 @@
 /// only trials, since health answers may be wrong.
 constexpr base::milliseconds FirstAvoidTime{1'000};
 constexpr base::milliseconds MostAvoidTime{8'000};
-/// What a process beside a server says holds for so long; it says it each
-/// second.
-constexpr base::seconds OwnerTime{4};
+/// Strikes are forgotten this long after the last time of avoidance.
+constexpr base::milliseconds StrikeTime{2'000};
 /// One that could not be reached gets no new work for this long.
 constexpr base::milliseconds UnreachableTime{1'000};
 
@@ -34,6 +33,10 @@
 
 } // namespace
 
+int strikesOf(const Server &server, base::Instant now) {
+  return now < server.AvoidUntil + StrikeTime ? server.Strikes : 0;
+}
+
 void Directory::changed(std::string_view event, const Server &server) const {
   if (OnChange)
     OnChange(event, server);
@@ -54,6 +57,7 @@
   if (it == Servers.end()) {
     const auto added = Servers.emplace(listed.Id, Server{listed}).first;
     added->second.IsListed = true;
+    added->second.ColdUntil = now + listed.ColdLeft;
     changed("server-listed", added->second);
     if (listed.State == ServerState::Leaving)
       leave(now, added->second);
@@ -65,16 +69,11 @@
   server.IsMissing = false;
   server.IsListed = true;
   server.Listed = listed;
+  server.ColdUntil = now + listed.ColdLeft;
   if (listed.State == ServerState::Leaving)
     leave(now, server);
 }
 
-void Directory::meet(const ListedServer &listed) {
-  const auto [it, isNew] = Servers.try_emplace(listed.Id, Server{listed});
-  if (isNew)
-    changed("server-met", it->second);
-}
-
 bool Directory::isGraceTime(base::Instant now) const {
   return IsStoreAway || (StoreBackAt != base::Instant{} &&
                          now - StoreBackAt < GraceAfterReturn);
@@ -100,8 +99,9 @@
     put(now, listed);
   }
   std::vector<std::string> missing;
+  // One that was only met is not yet expected in the list.
   for (const auto &[id, server] : Servers)
-    if (!ids.contains(id))
+    if (server.IsListed && !ids.contains(id))
       missing.push_back(id);
   for (const std::string &id : missing)
     remove(now, id);
@@ -113,55 +113,44 @@
     leave(now, it->second);
 }
 
-void Directory::noticeLeaving(base::Instant now, const base::Endpoint &address,
-                              base::milliseconds leavesIn) {
+/// A server that the list does not hold yet. Whoever had its address has ended.
+void Directory::meet(base::Instant now, const ListedServer &seen) {
   for (auto &[id, server] : Servers) {
-    if (server.Listed.Address != address || server.IsMissing ||
-        server.IsReplaced)
+    if (server.Listed.Address != seen.Address || server.IsReplaced)
       continue;
-    if (leavesIn.count() > 0 && server.GoneAt == base::Instant{})
-      server.GoneAt = now + leavesIn;
-    server.IsPlannedLeave = leavesIn.count() == 0;
+    server.IsReplaced = true;
     leave(now, server);
   }
+  const auto added = Servers.emplace(seen.Id, Server{seen}).first;
+  changed("server-met", added->second);
 }
 
-bool Directory::knowsAddress(const base::Endpoint &address) const {
-  return std::any_of(Servers.begin(), Servers.end(), [&](const auto &entry) {
-    const Server &server = entry.second;
-    return server.Listed.Address == address && !server.IsMissing &&
-           !server.IsReplaced;
-  });
-}
-
-void Directory::noteOwner(base::Instant now, const base::Endpoint &address,
-                          std::string service, std::string zone) {
-  Owners[base::toString(address)] = {std::move(service), std::move(zone), now};
+void Directory::hearNotice(base::Instant now, const ServerNotice &notice) {
+  if (notice.Seen.Id.empty())
+    return;
+  auto it = Servers.find(notice.Seen.Id);
+  if (it == Servers.end() && notice.IsLeaving)
+    return;
+  if (it == Servers.end()) {
+    meet(now, notice.Seen);
+    return;
+  }
+  Server &server = it->second;
+  if (!notice.IsLeaving)
+    return;
+  const bool isTimed = notice.LeavesIn.count() > 0;
+  if (isTimed && server.GoneAt == base::Instant{})
+    server.GoneAt = now + notice.LeavesIn;
+  server.IsPlannedLeave = !isTimed;
+  leave(now, server);
 }
 
-void Directory::markReplaced(base::Instant now, std::string_view id,
-                             const std::string &newId) {
+void Directory::markReplaced(base::Instant now, std::string_view id) {
   const auto it = Servers.find(id);
   if (it == Servers.end())
     return;
   it->second.IsReplaced = true;
   leave(now, it->second);
-  const ListedServer &old = it->second.Listed;
-  const auto owner = Owners.find(base::toString(old.Address));
-  if (newId.empty() || owner == Owners.end() ||
-      now - owner->second.HeardAt > OwnerTime ||
-      owner->second.Service != old.Service)
-    return;
-  ListedServer successor = old;
-  successor.Id = newId;
-  successor.State = ServerState::Ready;
-  meet(successor);
-}
-
-bool Directory::isReplacedAt(const base::Endpoint &address) const {
-  return std::any_of(Servers.begin(), Servers.end(), [&](const auto &entry) {
-    return entry.second.Listed.Address == address && entry.second.IsReplaced;
-  });
 }
 
 void Directory::storeFailed(base::Instant now) {
@@ -194,7 +183,7 @@
     return;
   Server &server = it->second;
   if (outcome == ServerOutcome::Broken) {
-    ++server.Strikes;
+    server.Strikes = strikesOf(server, now) + 1;
     server.AvoidUntil = now + avoidTime(server.Strikes);
     changed("server-avoided", server);
     return;
@@ -218,11 +207,11 @@
 
 void Directory::hearAvoided(base::Instant now, const AvoidedServer &avoided) {
   const auto it = Servers.find(avoided.Id);
-  if (it == Servers.end() || avoided.Strikes <= it->second.Strikes)
+  if (it == Servers.end() || avoided.Strikes <= strikesOf(it->second, now))
     return;
   it->second.Strikes = avoided.Strikes;
-  it->second.AvoidUntil =
-      std::max(it->second.AvoidUntil, now + std::min(avoided.Left, MostAvoidTime));
+  it->second.AvoidUntil = std::max(it->second.AvoidUntil,
+                                   now + std::min(avoided.Left, MostAvoidTime));
   changed("server-avoided", it->second);
 }
 
@@ -230,8 +219,9 @@
   std::vector<AvoidedServer> avoided;
   for (const auto &[id, server] : Servers)
     if (server.Strikes > 0 && server.AvoidUntil > now)
-      avoided.push_back({id, server.Strikes,
-                         base::milliseconds(base::toMs(server.AvoidUntil - now))});
+      avoided.push_back(
+          {id, server.Strikes,
+           base::milliseconds(base::toMs(server.AvoidUntil - now))});
   return avoided;
 }
 
@@ -270,12 +260,18 @@
     if (server.IsMissing || !server.IsListed)
       continue;
     servers.push_back(server.Listed);
-    if (server.IsLeaving)
-      servers.back().State = ServerState::Leaving;
   }
   return servers;
 }
 
+std::vector<std::string> Directory::leaving() const {
+  std::vector<std::string> ids;
+  for (const auto &[id, server] : Servers)
+    if (server.IsLeaving && !server.IsMissing)
+      ids.push_back(id);
+  return ids;
+}
+
 std::uint64_t Directory::digest() const {
   std::uint64_t digest = 0;
   for (const auto &[id, server] : Servers) {
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -112,7 +112,6 @@
     co_return attempt;
   attempt.End = endOf(*head);
   attempt.Why = "answered";
-  attempt.OtherServerId = head->OtherServerId;
   attempt.Answer = WholeAnswer{std::move(*head), std::move(*body)};
   co_return attempt;
 }
--- a/src/gateway/forwarding.cc
+++ b/src/gateway/forwarding.cc
@@ -196,7 +196,7 @@
     outcome = ServerOutcome::Unreachable;
     break;
   case AttemptEnd::OtherServer:
-    f.W.Servers.markReplaced(f.W.now(), server, attempt.OtherServerId);
+    f.W.Servers.markReplaced(f.W.now(), server);
     return;
   }
   f.W.Servers.note(f.W.now(), server, outcome);
--- a/src/gateway/forwarding.h
+++ b/src/gateway/forwarding.h
@@ -70,8 +70,6 @@
   /// For the log.
   std::string Why;
   std::optional<WholeAnswer> Answer;
-  /// The server that is at the address instead, if it says so.
-  std::string OtherServerId;
 };
 
 /// Connects to a server within the time that is left; null when no connection
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -183,9 +183,8 @@
     message.add_peers(base::toString(peer.Address));
   for (const LedgerRun &run : W.Runs.ownRuns())
     *message.add_runs() = toWire(run);
-  for (const ListedServer &s : W.Servers.list())
-    if (s.State == ServerState::Leaving)
-      message.add_leaving_servers(s.Id);
+  for (std::string &id : W.Servers.leaving())
+    message.add_leaving_servers(std::move(id));
   const std::string bytes = message.SerializeAsString();
   for (const base::Endpoint &to : W.Others.due(now)) {
     error_code ec;
@@ -204,15 +203,14 @@
   const auto address = base::parseEndpoint("engine", notice.address());
   if (!ok(address))
     return;
-  W.Servers.noteOwner(now, value(address), notice.service(), notice.zone());
-  if (notice.is_leaving())
-    W.Servers.noticeLeaving(now, value(address),
-                            milliseconds(notice.leaves_in_ms()));
-  else if (now - W.ListFrom > ListIsOld ||
-           W.Servers.isReplacedAt(value(address)))
-    asio::co_spawn(
-        W.Io, meetServer({{}, notice.service(), value(address), notice.zone()}),
-        asio::detached);
+  ServerNotice heard;
+  heard.Seen.Id = notice.server();
+  heard.Seen.Service = notice.service();
+  heard.Seen.Address = value(address);
+  heard.Seen.Zone = notice.zone();
+  heard.IsLeaving = notice.is_leaving();
+  heard.LeavesIn = milliseconds(notice.leaves_in_ms());
+  W.Servers.hearNotice(now, heard);
   wire::Gossip answer;
   answer.set_name(W.Settings.Name);
   answer.set_address(base::toString(W.Settings.ControlListen));
@@ -223,28 +221,6 @@
   Socket.send_to(asio::buffer(answer.SerializeAsString()), from, 0, ec);
 }
 
-/// While the store is away, or has not heard of a server's end, servers that
-/// have just started are known only from the process beside them: the server
-/// itself says which one it is.
-asio::awaitable<void> Gossip::meetServer(ListedServer found) {
-  const Service *service =
-      W.Routes ? W.Routes->config().service(found.Service) : nullptr;
-  const std::string address = base::toString(found.Address);
-  if (!service || W.Servers.knowsAddress(found.Address) ||
-      !Meeting.insert(address).second)
-    co_return;
-  http::Request request{"GET", service->HealthPath, {}, {}};
-  http::Fetched fetched =
-      co_await http::fetch(found.Address, std::move(request), FetchLimit);
-  Meeting.erase(address);
-  if (!ok(fetched.Answer))
-    co_return;
-  found.Id = W.Words.ReadHealth(value(fetched.Answer));
-  if (found.Id.empty() || W.Servers.find(found.Id))
-    co_return;
-  W.Servers.meet(found);
-}
-
 void Gossip::take(std::string_view datagram, const udp::endpoint &from) {
   wire::Gossip message;
   if (!message.ParseFromArray(datagram.data(),
@@ -275,8 +251,7 @@
 void Gossip::hearList(base::Instant now, const wire::Gossip &message) {
   if (!message.watches_list() || message.list_digest() != W.Servers.digest())
     return;
-  W.ListFrom =
-      std::max(W.ListFrom, now - milliseconds(message.list_age_ms()));
+  W.ListFrom = std::max(W.ListFrom, now - milliseconds(message.list_age_ms()));
 }
 
 asio::awaitable<void> Gossip::catchUp() {
--- a/src/gateway/gossip.h
+++ b/src/gateway/gossip.h
@@ -10,7 +10,6 @@
 #include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
-#include <set>
 
 namespace drumlanding::gateway {
 
@@ -33,7 +32,6 @@
   void takeNotice(const wire::Gossip &message,
                   const asio::ip::udp::endpoint &from);
   void hearList(base::Instant now, const wire::Gossip &message);
-  asio::awaitable<void> meetServer(ListedServer found);
   asio::awaitable<void> catchUp();
   asio::awaitable<void> fetchConfig(Peer from);
   asio::awaitable<void> fetchServers(Peer from);
@@ -42,8 +40,6 @@
   asio::ip::udp::socket Socket;
   asio::steady_timer NextTell;
   bool IsTellDue = false;
-  /// Addresses whose servers are being asked who they are.
-  std::set<std::string> Meeting;
   std::unique_ptr<http::Server> Control;
 };
 
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -13,6 +13,10 @@
 constexpr base::milliseconds LiveTime{3'000};
 /// One that was heard within this time still counts for shared limits.
 constexpr base::seconds CountTime{15};
+/// Within this time after the start the others become known; until then there
+/// may be as many as this (a site of 100 VMs has some 30).
+constexpr base::seconds MeetTime{4};
+constexpr int UnknownGateways = 30;
 /// Gateways that follow the store's list: two, so that one can fail.
 constexpr int Watchers = 2;
 /// A gateway whose list is older than this does not count: news of the store
@@ -25,9 +29,10 @@
 
 } // namespace
 
-Peers::Peers(PeersOptions options) : Options(std::move(options)) {
+Peers::Peers(base::Instant now, PeersOptions options)
+    : Options(std::move(options)), StartedAt(now) {
   for (const base::Endpoint &seed : Options.Seeds)
-    add({}, seed);
+    add(now, seed);
 }
 
 void Peers::add(base::Instant now, const base::Endpoint &address) {
@@ -114,7 +119,8 @@
         return peer.HeardAt != base::Instant{} &&
                now - peer.HeardAt < CountTime;
       });
-  return static_cast<int>(n) + 1;
+  const int known = static_cast<int>(n) + 1;
+  return now - StartedAt < MeetTime ? std::max(known, UnknownGateways) : known;
 }
 
 } // namespace drumlanding::gateway
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -35,14 +35,15 @@
 
 } // namespace
 
-double Placement::costOf(const Server &server, const EngineTraits &engine,
-                         const EngineLoad &load, const Demand &demand,
-                         std::string_view near) const {
+double Placement::costOf(base::Instant now, const Server &server,
+                         const EngineTraits &engine, const EngineLoad &load,
+                         const Demand &demand, std::string_view near) const {
   const double prompt = demand.PromptTokens;
   double cost = static_cast<double>(load.UnreadTokens) * ReadMsPerToken;
   cost += static_cast<double>(load.ForecastTokens) * HoldMsPerToken;
-  cost += static_cast<double>(server.Listed.ColdLeft.count());
-  cost += server.FailurePart * FailureMs + server.Strikes * StrikeMs;
+  cost += static_cast<double>(
+      std::max(std::int64_t{0}, base::toMs(server.ColdUntil - now)));
+  cost += server.FailurePart * FailureMs + strikesOf(server, now) * StrikeMs;
   const double room = MemoryLimit * static_cast<double>(engine.MemoryTokens) -
                       static_cast<double>(load.ForecastTokens) - prompt -
                       demand.ExpectedTokens;
@@ -63,7 +64,8 @@
       continue;
     ++best.Candidates;
     const EngineLoad load = Runs.loadOf(server->Listed.Id);
-    const double cost = costOf(*server, *service.Engine, load, demand, near);
+    const double cost =
+        costOf(now, *server, *service.Engine, load, demand, near);
     if (best.Chosen && cost >= best.CostMs)
       continue;
     best.Chosen = server;
@@ -85,7 +87,7 @@
     const double tie = server->Listed.Zone == Zone ? 0 : 0.5;
     const double rank = server->Open + tie + random.unit() * 0.4 +
                         server->FailurePart * FailureRank +
-                        server->Strikes * StrikeRank;
+                        strikesOf(*server, now) * StrikeRank;
     if (best && rank >= bestRank)
       continue;
     best = server;
--- a/src/gateway/stream-forwarder.cc
+++ b/src/gateway/stream-forwarder.cc
@@ -96,7 +96,6 @@
     attempt.Why = "a failure that is not whole";
     co_return attempt;
   }
-  attempt.OtherServerId = Head.OtherServerId;
   attempt.Answer = WholeAnswer{Head, std::move(*body)};
   co_return attempt;
 }
--- a/src/gateway/world.h
+++ b/src/gateway/world.h
@@ -47,8 +47,8 @@
         Words(std::move(dialect)), From(std::move(source)), Log(Settings.Name),
         Placing(Servers, Runs, Settings.Zone), Budget(Settings.Retries),
         Random(base::secureRandom64()),
-        Others({Settings.Name, Settings.ControlListen, Incarnation,
-                Settings.Seeds}) {}
+        Others(now(), {Settings.Name, Settings.ControlListen, Incarnation,
+                       Settings.Seeds}) {}
 
   asio::io_context &Io;
   const base::Clock &Clock;
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -29,6 +29,11 @@
 /// How often gateways are told that the engine is there, and asked for the
 /// addresses of all.
 constexpr milliseconds ContactEvery{1'000};
+/// The same while an engine is new, until everybody must have heard of it.
+constexpr milliseconds NewContactEvery{200};
+constexpr milliseconds NewTime{3'000};
+/// An engine that does not say who it is, is asked again after so many reports.
+constexpr int ReportsPerHealth = 5;
 /// Most gateways that are told so each time, in turn.
 constexpr std::size_t MostContacts = 8;
 constexpr std::size_t LargestDatagram = 60'000;
@@ -44,7 +49,8 @@
 Sidecar::Sidecar(asio::io_context &io, SidecarSettings settings,
                  gateway::Dialect dialect)
     : Io(io), Settings(std::move(settings)), Words(std::move(dialect)),
-      Log(Settings.Name), Gateways({Settings.Name, Settings.Listen,
+      Log(Settings.Name),
+      Gateways(Clock.now().Steady, {Settings.Name, Settings.Listen,
                                     base::secureRandom64(), Settings.Seeds}),
       Socket(io) {}
 
@@ -72,45 +78,69 @@
 asio::awaitable<void> Sidecar::watchEngine() {
   for (;;) {
     co_await askUntilBroken();
-    HasReport = false;
+    EngineId.clear();
+    Last = {};
     co_await sleepFor(AskAgain);
   }
 }
 
-/// Asks for reports on one connection as long as it holds.
+/// Sends a request on a kept connection and reads the whole answer.
+asio::awaitable<base::Result<http::Response>>
+Sidecar::ask(http::Connection &connection, http::Request request) {
+  request.Headers.push_back({"Host", base::toString(Settings.Engine)});
+  connection.send(request);
+  auto head = co_await connection.readHead();
+  if (!ok(head))
+    co_return error(head);
+  http::Response response;
+  response.Status = value(head).Status;
+  response.Headers = std::move(value(head).Headers);
+  for (;;) {
+    auto piece = co_await connection.read();
+    if (!ok(piece))
+      co_return error(piece);
+    if (value(piece).empty())
+      co_return response;
+    response.Body += value(piece);
+  }
+}
+
+/// Asks for reports on one connection as long as it holds: a restarted engine
+/// breaks it.
 asio::awaitable<void> Sidecar::askUntilBroken() {
   auto opened = co_await http::Connection::open(Settings.Engine, ConnectLimit);
   if (!ok(opened))
     co_return;
   const std::shared_ptr<http::Connection> connection = value(opened);
-  http::Request request = Words.ToReport();
-  request.Headers.push_back({"Host", base::toString(Settings.Engine)});
-  for (;;) {
-    connection->send(request);
-    auto head = co_await connection->readHead();
-    if (!ok(head) || value(head).Status != Fine)
-      co_return;
-    http::Response response;
-    response.Status = Fine;
-    for (;;) {
-      auto piece = co_await connection->read();
-      if (!ok(piece))
+  for (int i = 0;; ++i) {
+    if (EngineId.empty() && i % ReportsPerHealth == 0) {
+      const auto health = co_await ask(*connection, Words.ToHealth());
+      if (!ok(health))
         co_return;
-      if (value(piece).empty())
-        break;
-      response.Body += value(piece);
+      meet(Words.ReadHealth(value(health)));
     }
-    const auto report = Words.ReadReport(response);
+    const auto answer = co_await ask(*connection, Words.ToReport());
+    if (!ok(answer))
+      co_return;
+    const auto report = Words.ReadReport(value(answer));
     if (ok(report))
       take(value(report));
     co_await sleepFor(AskEvery);
   }
 }
 
+void Sidecar::meet(const std::string &id) {
+  if (id.empty())
+    return;
+  EngineId = id;
+  MetAt = Clock.now().Steady;
+  Log.write("engine-met", {{"server", id}});
+  tell(allGateways());
+}
+
 void Sidecar::take(const gateway::ServerReport &report) {
   const bool isNew = report.IsLeaving && !Last.IsLeaving;
   Last = report;
-  HasReport = true;
   if (isNew)
     Log.write(
         "engine-leaving",
@@ -137,6 +167,7 @@
   message.set_address(base::toString(Settings.Listen));
   wire::EngineNotice &notice = *message.mutable_notice();
   notice.set_address(base::toString(Settings.Engine));
+  notice.set_server(EngineId);
   notice.set_service(Settings.Service);
   notice.set_zone(Settings.Zone);
   notice.set_is_leaving(Last.IsLeaving);
@@ -174,9 +205,10 @@
     for (std::size_t i = 0; i < std::min(due.size(), MostContacts); ++i)
       to.push_back(due[NextContact++ % due.size()]);
     // Without an answer from the engine there is nothing to tell.
-    if (HasReport)
+    if (!EngineId.empty())
       tell(to);
-    co_await sleepFor(ContactEvery);
+    const bool isNew = Clock.now().Steady - MetAt < NewTime;
+    co_await sleepFor(isNew ? NewContactEvery : ContactEvery);
   }
 }
 
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -39,8 +39,11 @@
           gateway::Dialect dialect);
   asio::awaitable<void> watchEngine();
   asio::awaitable<void> askUntilBroken();
+  asio::awaitable<base::Result<http::Response>>
+  ask(http::Connection &connection, http::Request request);
   asio::awaitable<void> listen();
   asio::awaitable<void> keepContact();
+  void meet(const std::string &id);
   void take(const gateway::ServerReport &report);
   void tell(const std::vector<base::Endpoint> &to);
   std::vector<base::Endpoint> allGateways() const;
@@ -53,8 +56,10 @@
   gateway::Peers Gateways;
   asio::ip::udp::socket Socket;
   gateway::ServerReport Last;
-  /// False while the engine does not answer.
-  bool HasReport = false;
+  /// The engine's id; empty while it does not answer or is not well.
+  std::string EngineId;
+  /// When the engine on this connection was first met.
+  base::Instant MetAt{};
   base::Instant ToldAt{};
   /// The gateway that is asked next for the list of gateways.
   std::size_t NextContact = 0;
