--- a/include/drumlanding/gateway/peers.h
+++ b/include/drumlanding/gateway/peers.h
@@ -18,7 +18,7 @@
 
 namespace wire {
 class Gossip;
-}
+} // namespace wire
 
 struct PeersOptions {
   std::string Name;
--- a/src/ctl/roll-out.cc
+++ b/src/ctl/roll-out.cc
@@ -1,6 +1,6 @@
 #include "roll-out.h"
 
-#include "drumlanding/platform/client.h"
+#include "platform/client.h"
 #include "drumlanding/wire/link.h"
 
 #include <boost/asio/co_spawn.hpp>
--- a/src/entry/plan-keeper.cc
+++ b/src/entry/plan-keeper.cc
@@ -41,9 +41,9 @@
 
 asio::awaitable<void> PlanKeeper::run() {
   for (;;) {
-    if (Lease.empty())
+    if (Lease == 0)
       co_await takeLease();
-    if (Lease.empty()) {
+    if (Lease == 0) {
       co_await sleepFor(LookEvery);
       continue;
     }
@@ -53,7 +53,7 @@
     if (ok(renewed))
       continue;
     PlanLog.info("lease lost: {}", describe(error(renewed)));
-    Lease.clear();
+    Lease = 0;
   }
 }
 
--- a/src/entry/plan-keeper.h
+++ b/src/entry/plan-keeper.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include "drumlanding/plan/plan.h"
-#include "drumlanding/platform/client.h"
+#include "platform/client.h"
 
 #include <functional>
 #include <memory>
@@ -42,7 +42,7 @@
   std::string Name;
   Source Input;
   /// Empty while another entry holds the lease.
-  std::string Lease;
+  std::uint64_t Lease = 0;
 };
 
 } // namespace drumlanding::entry
--- a/src/entry/shell.cc
+++ b/src/entry/shell.cc
@@ -65,10 +65,10 @@
 Shell::Shell(daemon::Runtime &runtime, ShellSettings settings)
     : Runtime(runtime), Settings(std::move(settings)),
       Platform(Settings.Platform) {
-  Platform.OnCall = [this](std::string_view call) {
+  Platform.setOnCall([this](std::string_view call) {
     Metrics.count("drumlanding_platform_calls_total",
                   {{"call", std::string(call)}});
-  };
+  });
 }
 
 Result<std::unique_ptr<Shell>> Shell::start(daemon::Runtime &runtime,
--- a/src/entry/shell.h
+++ b/src/entry/shell.h
@@ -12,7 +12,7 @@
 #include "drumlanding/daemon/daemon.h"
 #include "drumlanding/entry/core.h"
 #include "drumlanding/entry/members.h"
-#include "drumlanding/platform/client.h"
+#include "platform/client.h"
 #include "mailbox.h"
 #include "plan-keeper.h"
 
--- a/src/gateway/main.cc
+++ b/src/gateway/main.cc
@@ -7,6 +7,8 @@
 #include "drumlanding/daemon/process.h"
 
 #include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <filesystem>
 #include <gflags/gflags.h>
 
 DEFINE_string(node_file, "",
@@ -97,6 +99,53 @@
   return settings;
 }
 
+/// Calls back on SIGHUP, and when the settings file has changed by itself.
+class SettingsWatch {
+public:
+  SettingsWatch(boost::asio::io_context &io, std::function<void()> changed)
+      : Hangups(io, SIGHUP), Timer(io), Changed(std::move(changed)),
+        ReadAt(writtenAt()) {
+    waitForHangup();
+    waitForChange();
+  }
+
+private:
+  static constexpr base::milliseconds LookEvery{2'000};
+
+  static std::filesystem::file_time_type writtenAt() {
+    std::error_code ec;
+    return std::filesystem::last_write_time(FLAGS_node_file, ec);
+  }
+
+  void waitForHangup() {
+    Hangups.async_wait([this](boost::system::error_code ec, int) {
+      if (ec)
+        return;
+      ReadAt = writtenAt();
+      Changed();
+      waitForHangup();
+    });
+  }
+
+  void waitForChange() {
+    Timer.expires_after(LookEvery);
+    Timer.async_wait([this](boost::system::error_code ec) {
+      if (ec)
+        return;
+      if (const auto at = writtenAt(); at != ReadAt) {
+        ReadAt = at;
+        Changed();
+      }
+      waitForChange();
+    });
+  }
+
+  boost::asio::signal_set Hangups;
+  boost::asio::steady_timer Timer;
+  std::function<void()> Changed;
+  std::filesystem::file_time_type ReadAt;
+};
+
 } // namespace
 
 int main(int argc, char **argv) {
@@ -116,7 +165,8 @@
     if (!ec)
       value(shell)->leave();
   });
-  std::signal(SIGHUP, SIG_IGN);
+  SettingsWatch watch(
+      io, [&] { value(shell)->reload(readGatewaySettings(argc, argv)); });
   io.run();
   // Connections that are still open hold references into the shell.
   std::_Exit(0);
--- a/src/gateway/shell.cc
+++ b/src/gateway/shell.cc
@@ -88,6 +88,23 @@
   co_await x.send(std::move(response));
 }
 
+void Shell::reload(const base::Result<GatewaySettings> &read) {
+  if (!ok(read)) {
+    W.Log.write("settings-rejected", {{"why", describe(error(read))}});
+    return;
+  }
+  const GatewaySettings &fresh = value(read);
+  const bool needsRestart = fresh.Listen != W.Settings.Listen ||
+                            fresh.ReadyListen != W.Settings.ReadyListen ||
+                            fresh.ControlListen != W.Settings.ControlListen ||
+                            fresh.Store != W.Settings.Store;
+  W.Settings.Retries = fresh.Retries;
+  W.Settings.Drain = fresh.Drain;
+  W.Settings.Grace = fresh.Grace;
+  W.Budget.setOptions(fresh.Retries);
+  W.Log.write("settings-taken", {{"needs_restart", needsRestart}});
+}
+
 void Shell::leave() {
   if (W.IsLeaving)
     return;
--- a/src/gateway/shell.h
+++ b/src/gateway/shell.h
@@ -14,6 +14,10 @@
   start(asio::io_context &io, const base::Clock &clock,
         GatewaySettings settings, Dialect dialect, Source source);
 
+  /// Takes the settings that can change while the process runs: limits and
+  /// times. New addresses need a restart.
+  void reload(const base::Result<GatewaySettings> &settings);
+
   /// Takes no new callers, lets requests end, and stops the context.
   void leave();
 
--- a/support/capacity-run.sh
+++ b/support/capacity-run.sh
@@ -57,7 +57,7 @@
     ENTRIES+=("127.0.0.1:$(port $((10 + n)))")
     VMS+=("$(vm_json "entry-$n" entry "" "$place" "127.0.0.1:$(port $((40 + n)))")")
   done
-  wait_for_url "http://$PLATFORM/v1/vms"
+  wait_for_url "http://$PLATFORM/drumlanding/kv-range?pathPrefix=vms/"
   publish_vms
   roll_out "$ROOT/examples/$EXAMPLE/bundle.json" >/dev/null
   for entry in "${ENTRIES[@]}"; do wait_for_url "http://$entry/readyz"; done
--- a/support/deployment.sh
+++ b/support/deployment.sh
@@ -118,7 +118,7 @@
       "127.0.0.1:$(port $((700 + n)))"
     VMS+=("$(vm_json "$plain-$n" agent "$plain" "$place" "127.0.0.1:$(port $((200 + n)))")")
   done
-  wait_for_url "http://$PLATFORM/v1/vms"
+  wait_for_url "http://$PLATFORM/drumlanding/kv-range?pathPrefix=vms/"
   publish_vms
 }
 
--- a/test/forwarding-test.cc
+++ b/test/forwarding-test.cc
@@ -609,6 +609,19 @@
   });
 }
 
+TEST_F(ForwardingTest, SettingsAreReloadedAndBadOnesRejected) {
+  startGateway();
+  runTest([&]() -> asio::awaitable<void> {
+    GatewaySettings fresh = Gateway->world().Settings;
+    fresh.Drain = milliseconds(777);
+    Gateway->reload(fresh);
+    EXPECT_EQ(Gateway->world().Settings.Drain, milliseconds(777));
+    Gateway->reload(base::invalid("--drain_ms", "bad"));
+    EXPECT_EQ(Gateway->world().Settings.Drain, milliseconds(777));
+    co_return;
+  });
+}
+
 /// A move under each fault: every event arrives at most once and in order, and
 /// the answer is whole exactly when all of them came.
 class MoveTest : public ForwardingTest,
--- a/tools/fake-platform.cc
+++ b/tools/fake-platform.cc
@@ -1,10 +1,13 @@
-// fake-platform: a stand-in for the platform's service: a key-value service
-// with compare-and-swap, leases and watches, a lagging list of VMs, and a
-// rate-limited weight store. /v1/test/... is for tests only: outages, slowness
-// and lost answers.
+// fake-platform: a stand-in for the platform's store, speaking its published
+// interface: entries with revisions, conditional writes, leases, watches with a
+// bounded history; and a lagging list of VMs and a weight store. /v1/test/...
+// is for tests only: outages, slowness and lost answers.
+#include "platform/names.h"
+#include "platform/store.h"
 #include "stand-in.h"
 
 #include <chrono>
+#include <deque>
 #include <gflags/gflags.h>
 #include <map>
 
@@ -24,11 +27,16 @@
                                       "writes_per_second", "reads_per_second",
                                       "weights_ms"};
 constexpr base::milliseconds WatchStep{10};
+/// Changes that watches can still be told.
+constexpr std::size_t MostHistory = 500;
+constexpr std::string_view VmPrefix = "vms/";
+namespace names = platform::names;
 
 struct StoredEntry {
   std::uint64_t Revision = 0;
-  std::string Value;
-  std::string Lease;
+  std::uint64_t Made = 0;
+  std::string Value; // as sent: base64
+  std::uint64_t Lease = 0;
 };
 
 struct Lease {
@@ -36,6 +44,14 @@
   base::milliseconds Time{0};
 };
 
+/// A change in the history that watches read.
+struct Change {
+  std::uint64_t Revision = 0;
+  std::string Key;
+  bool IsGone = false;
+  StoredEntry Entry;
+};
+
 /// Allows so many calls in each second.
 class RateLimit {
 public:
@@ -78,19 +94,21 @@
       co_return;
     }
     expireLeases();
+    listVms();
     if (path.starts_with("/v1/weights/")) {
       co_await sleepFor(base::milliseconds(FLAGS_weights_ms));
       co_await x.send(emptyResponse(200));
       co_return;
     }
-    const bool isWrite = request.Method != "GET";
+    const bool isRenewal = path.starts_with(names::call::LeaseRenew);
+    const bool isWrite = request.Method != "GET" && !isRenewal;
     const bool isAllowed = isWrite ? Writes.take(FLAGS_writes_per_second)
                                    : Reads.take(FLAGS_reads_per_second);
     if (!isAllowed) {
       co_await x.send(errorResponse(429, "rate limit"));
       co_return;
     }
-    if (!isWrite && !request.query("wait_ms").empty())
+    if (path == names::call::StoreWatch)
       co_await waitForChange(request);
     http::Response response = answer(request);
     if (isWrite && TheFaults.LoseAnswers > 0 && response.Status == 200) {
@@ -102,30 +120,69 @@
   }
 
 private:
-  static std::string keyOf(const http::Request &request) {
-    return std::string(request.path().substr(std::string("/v1/kv/").size()));
+  static Json toJson(const std::string &key, const StoredEntry &entry) {
+    return {{"tlsKey", key},
+            {"value", entry.Value},
+            {"rev", entry.Revision},
+            {"made", entry.Made},
+            {"lease", entry.Lease}};
+  }
+
+  void put(const std::string &key, const std::string &value,
+           std::uint64_t lease) {
+    StoredEntry &entry = Entries[key];
+    entry.Revision = Revision;
+    if (entry.Made == 0)
+      entry.Made = Revision;
+    entry.Value = value;
+    entry.Lease = lease;
+    remember({Revision, key, false, entry});
+  }
+
+  void remove(const std::string &key) {
+    if (Entries.erase(key) > 0)
+      remember({Revision, key, true, {}});
+  }
+
+  void remember(Change change) {
+    History.push_back(std::move(change));
+    if (History.size() <= MostHistory)
+      return;
+    Forgotten = History.front().Revision;
+    History.pop_front();
   }
 
   void expireLeases() {
     const auto now = Clock::now();
     std::erase_if(Leases,
                   [&](const auto &entry) { return entry.second.Until < now; });
-    std::erase_if(Entries, [&](const auto &entry) {
-      return !entry.second.Lease.empty() &&
-             !Leases.contains(entry.second.Lease);
-    });
+    std::vector<std::string> lapsed;
+    for (const auto &[key, entry] : Entries)
+      if (entry.Lease != 0 && !Leases.contains(entry.Lease))
+        lapsed.push_back(key);
+    for (const std::string &key : lapsed) {
+      ++Revision;
+      remove(key);
+    }
+  }
+
+  std::vector<const Change *> changesFor(const http::Request &request) const {
+    const std::string prefix(request.query("pathPrefix"));
+    const std::uint64_t after = numberOf(request.query("sinceRev"), 0);
+    std::vector<const Change *> changes;
+    for (const Change &change : History)
+      if (change.Revision > after && change.Key.starts_with(prefix))
+        changes.push_back(&change);
+    return changes;
   }
 
   asio::awaitable<void> waitForChange(const http::Request &request) {
-    const std::string key = keyOf(request);
-    const std::uint64_t after = numberOf(request.query("after"), 0);
     const auto until =
-        Clock::now() +
-        base::milliseconds(numberOf(request.query("wait_ms"), 0));
+        Clock::now() + base::milliseconds(numberOf(request.query("waitMs"), 0));
     while (Clock::now() < until && !TheFaults.IsDown) {
       expireLeases();
-      const auto it = Entries.find(key);
-      if (it != Entries.end() && it->second.Revision > after)
+      listVms();
+      if (!changesFor(request).empty())
         co_return;
       co_await sleepFor(WatchStep);
     }
@@ -133,56 +190,120 @@
 
   http::Response answer(const http::Request &request) {
     const std::string path(request.path());
-    if (path.starts_with("/v1/kv/"))
-      return request.Method == "PUT" ? swap(request) : read(request);
-    if (path == "/v1/leases" && request.Method == "POST")
+    if (path == names::call::StoreKey)
+      return read(request);
+    if (path == names::call::StoreRange)
+      return range(request);
+    if (path == names::call::StoreWatch)
+      return watch(request);
+    if (path == names::call::StoreWrite && request.Method == "POST")
+      return write(request);
+    if (path == names::call::LeaseGrant && request.Method == "POST")
       return grant(request);
-    if (path.starts_with("/v1/leases/") && request.Method == "PUT")
+    if (path.starts_with(names::call::LeaseRenew) && request.Method == "POST")
       return renew(request);
-    if (path == "/v1/vms")
-      return jsonResponse(200, {{"vms", visibleVms()}});
     return errorResponse(404, "unknown call");
   }
 
   http::Response read(const http::Request &request) {
-    const auto it = Entries.find(keyOf(request));
+    const auto it = Entries.find(std::string(request.query("tlsKey")));
     if (it == Entries.end())
       return errorResponse(404, "no such key");
-    return jsonResponse(
-        200, {{"revision", it->second.Revision}, {"value", it->second.Value}});
+    Json json = toJson(it->first, it->second);
+    json["at"] = Revision;
+    return jsonResponse(200, json);
+  }
+
+  http::Response range(const http::Request &request) {
+    const std::string prefix(request.query("pathPrefix"));
+    const std::string after(request.query("sinceRev"));
+    Json items = Json::array();
+    for (const auto &[key, entry] : Entries)
+      if (key.starts_with(prefix) && (after.empty() || key > after))
+        items.push_back(toJson(key, entry));
+    return jsonResponse(200,
+                        {{"items", items}, {"more", false}, {"at", Revision}});
   }
 
-  http::Response swap(const http::Request &request) {
-    const std::string key = keyOf(request);
-    const std::uint64_t expected = numberOf(request.query("expect"), 0);
-    const std::string lease(request.query("lease"));
+  http::Response watch(const http::Request &request) {
+    if (numberOf(request.query("sinceRev"), 0) < Forgotten)
+      return errorResponse(410, "the history is gone");
+    Json events = Json::array();
+    for (const Change *change : changesFor(request))
+      events.push_back(change->IsGone ? Json{{"tlsKey", change->Key},
+                                             {"rev", change->Revision},
+                                             {"gone", true}}
+                                      : toJson(change->Key, change->Entry));
+    return jsonResponse(200, {{"events", events}, {"at", Revision}});
+  }
+
+  std::uint64_t revisionOf(const std::string &key) const {
     const auto it = Entries.find(key);
-    const std::uint64_t current = it == Entries.end() ? 0 : it->second.Revision;
-    if (!lease.empty() && !Leases.contains(lease))
-      return errorResponse(410, "the lease has lapsed");
-    if (current != expected)
-      return jsonResponse(
-          409, {{"revision", current},
-                {"value", it == Entries.end() ? "" : it->second.Value}});
-    Entries[key] = {++Revision, request.Body, lease};
-    return jsonResponse(200, {{"revision", Revision}, {"value", request.Body}});
+    return it == Entries.end() ? 0 : it->second.Revision;
+  }
+
+  http::Response write(const http::Request &request) {
+    const Json body = Json::parse(request.Body, nullptr, false);
+    if (!body.is_object())
+      return errorResponse(400, "an object is expected");
+    bool isHeld = true;
+    Json present = Json::array();
+    for (const Json &row : body.value("expectRev", Json::array())) {
+      const std::string key = row.at("tlsKey");
+      isHeld = isHeld && revisionOf(key) == row.at("rev");
+      if (const auto it = Entries.find(key); it != Entries.end())
+        present.push_back(toJson(key, it->second));
+    }
+    if (!isHeld)
+      return jsonResponse(412, {{"items", present}});
+    for (const Json &row : body.value("put", Json::array()))
+      if (const std::uint64_t lease = row.value("lease", std::uint64_t{0});
+          lease != 0 && !Leases.contains(lease))
+        return errorResponse(404, "the lease has lapsed");
+    ++Revision;
+    for (const Json &row : body.value("put", Json::array()))
+      put(row.at("tlsKey"), row.at("value"),
+          row.value("lease", std::uint64_t{0}));
+    for (const Json &key : body.value("remove", Json::array()))
+      remove(key);
+    return jsonResponse(200, {{"rev", Revision}});
   }
 
   http::Response grant(const http::Request &request) {
-    const base::milliseconds time(numberOf(request.query("ttl_ms"), 1'000));
-    const std::string id = std::to_string(++NextLease);
+    const Json body = Json::parse(request.Body, nullptr, false);
+    const base::milliseconds time(body.is_object() ? body.value("ttl_ms", 1'000)
+                                                   : 1'000);
+    const std::uint64_t id = ++NextLease;
     Leases[id] = {Clock::now() + time, time};
-    return jsonResponse(200, {{"lease", id}});
+    return jsonResponse(200, {{"lease", id}, {"ttl_ms", time.count()}});
   }
 
   http::Response renew(const http::Request &request) {
-    const std::string id(
-        request.path().substr(std::string("/v1/leases/").size()));
+    const std::uint64_t id =
+        numberOf(request.path().substr(names::call::LeaseRenew.size()), 0);
     const auto it = Leases.find(id);
     if (it == Leases.end())
       return errorResponse(404, "the lease has lapsed");
     it->second.Until = Clock::now() + it->second.Time;
-    return jsonResponse(200, {{"lease", id}});
+    return jsonResponse(200, {{"ttl_ms", it->second.Time.count()}});
+  }
+
+  /// Lays the list of VMs that is visible by now under its prefix.
+  void listVms() {
+    const Json visible = visibleVms();
+    if (visible == ListedVms)
+      return;
+    ListedVms = visible;
+    ++Revision;
+    std::vector<std::string> old;
+    for (const auto &[key, entry] : Entries)
+      if (key.starts_with(VmPrefix))
+        old.push_back(key);
+    for (const std::string &key : old)
+      remove(key);
+    for (const Json &vm : visible)
+      put(std::string(VmPrefix) + vm.at("name").get<std::string>(),
+          platform::encodeValue(vm.dump()), 0);
   }
 
   Json visibleVms() {
@@ -214,7 +335,11 @@
   }
 
   std::map<std::string, StoredEntry> Entries;
-  std::map<std::string, Lease> Leases;
+  std::map<std::uint64_t, Lease> Leases;
+  std::deque<Change> History;
+  /// Changes up to this revision are no longer told.
+  std::uint64_t Forgotten = 0;
+  Json ListedVms = Json::array();
   std::multimap<Clock::time_point, Json> Lists;
   std::uint64_t Revision = 0;
   std::uint64_t NextLease = 0;
