--- a/src/gateway/store-watch.cc
+++ b/src/gateway/store-watch.cc
@@ -122,10 +122,9 @@
       world.takeConfig(std::move(value(read).Text), "store");
     const base::Error e =
         co_await followConfig(world, health, value(read).Revision);
-    if (!isHistoryGone(e)) {
-      const milliseconds pause = health.failed(e);
-      co_await sleepFor(pause);
-    }
+    // Reading anew is the answer to a lost history, but never in a rush.
+    const milliseconds pause = isHistoryGone(e) ? GatherTime : health.failed(e);
+    co_await sleepFor(pause);
   }
 }
 
@@ -147,10 +146,9 @@
     applyAll(world, value(read));
     const base::Error e =
         co_await followServers(world, health, value(read).Revision);
-    if (!isHistoryGone(e)) {
-      const milliseconds pause = health.failed(e);
-      co_await sleepFor(pause);
-    }
+    // Reading anew is the answer to a lost history, but never in a rush.
+    const milliseconds pause = isHistoryGone(e) ? GatherTime : health.failed(e);
+    co_await sleepFor(pause);
   }
 }
 
--- a/test/forwarding-test.cc
+++ b/test/forwarding-test.cc
@@ -251,12 +251,15 @@
   Source source() {
     Source s;
     s.ReadConfig = [this]() -> Source::Answer<ConfigText> {
+      if (OnReadConfig)
+        OnReadConfig();
       ConfigText text{1, HasConfig ? "config" : ""};
       co_return text;
     };
-    s.WatchConfig = [](std::uint64_t, milliseconds) {
-      return never<ConfigText>();
-    };
+    s.WatchConfig =
+        WatchConfig ? WatchConfig : [](std::uint64_t, milliseconds) {
+          return never<ConfigText>();
+        };
     s.ReadServers = [this]() -> Source::Answer<ServerChanges> {
       ServerChanges all;
       for (const auto &server : Servers)
@@ -366,6 +369,9 @@
   base::SystemClock Clock;
   Config Plan;
   bool HasConfig = true;
+  std::function<Source::Answer<ConfigText>(std::uint64_t, milliseconds)>
+      WatchConfig;
+  std::function<void()> OnReadConfig;
   std::vector<std::unique_ptr<TestServer>> Servers;
   std::vector<ServerChange> Changes;
   std::unique_ptr<Shell> Gateway;
@@ -387,6 +393,23 @@
   });
 }
 
+/// A gateway that starts when the config is older than the store's history: it
+/// asked some hundred times a second.
+TEST_F(ForwardingTest, ALostHistoryIsNoReasonToRush) {
+  int reads = 0;
+  WatchConfig = [](std::uint64_t, milliseconds) -> Source::Answer<ConfigText> {
+    co_return base::Error{base::ErrorCode::NotFound, "test", "history gone"};
+  };
+  OnReadConfig = [&] { ++reads; };
+  startGateway();
+  runTest([&]() -> asio::awaitable<void> {
+    constexpr milliseconds While{500};
+    co_await sleepFor(While);
+    EXPECT_GE(reads, 1);
+    EXPECT_LE(reads, 5);
+  });
+}
+
 TEST_F(ForwardingTest, AnswersComeBackUnchanged) {
   TestServer &shop = addServer("s1", "shop");
   shop.OnCall = [&](http::Request r, http::Exchange &x) {
