Shorter messages between gateways, and a higher price of another zone

Change: leaving servers are told for 5 s, addresses with every fourth message; another zone costs a placement 120 ms instead of 20.

--- a/include/drumlanding/gateway/directory.h
+++ b/include/drumlanding/gateway/directory.h
@@ -137,8 +137,9 @@
                                      std::string_view service) const;
   /// The list as it was told, for other gateways.
   std::vector<ListedServer> list() const;
-  /// The servers known to be leaving, not by absence alone.
-  std::vector<std::string> leaving() const;
+  /// The servers that have lately become known to be leaving, not by absence
+  /// alone, for other gateways.
+  std::vector<std::string> leaving(base::Instant now) const;
   /// A number that is the same when two gateways have been told the same list.
   std::uint64_t digest() const;
   bool isEmpty() const { return Servers.empty(); }
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -20,6 +20,8 @@
 /// only trials, since health answers may be wrong.
 constexpr base::milliseconds FirstAvoidTime{1'000};
 constexpr base::milliseconds MostAvoidTime{8'000};
+/// The others are told of a leaving server for so long: ten messages.
+constexpr base::seconds TellLeaving{5};
 /// Strikes are forgotten this long after the last time of avoidance.
 constexpr base::milliseconds StrikeTime{2'000};
 /// One that could not be reached gets no new work for this long.
@@ -295,10 +297,11 @@
   return servers;
 }
 
-std::vector<std::string> Directory::leaving() const {
+std::vector<std::string> Directory::leaving(base::Instant now) const {
   std::vector<std::string> ids;
   for (const auto &[id, server] : Servers)
-    if (server.IsLeaving && !server.IsLeavingByAbsence && !server.IsMissing)
+    if (server.IsLeaving && !server.IsLeavingByAbsence && !server.IsMissing &&
+        now - server.LeavingSince < TellLeaving)
       ids.push_back(id);
   return ids;
 }
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -29,6 +29,8 @@
 constexpr milliseconds ListIsOld{1'500};
 /// Another gateway's list must be newer by this much to be fetched.
 constexpr milliseconds ListIsNewer{1'000};
+/// One message in so many carries the addresses of the live gateways.
+constexpr std::uint64_t MessagesPerPeerList = 4;
 /// Largest datagram; the network carries it in one piece or loses it.
 constexpr std::size_t LargestDatagram = 60'000;
 constexpr std::string_view ConfigPath = "/config";
@@ -179,11 +181,13 @@
     out.set_strikes(static_cast<std::uint32_t>(avoided.Strikes));
     out.set_left_ms(static_cast<std::uint64_t>(avoided.Left.count()));
   }
-  for (const Peer &peer : W.Others.live(now))
-    message.add_peers(base::toString(peer.Address));
+  // Bytes between zones are paid for: addresses go with a part of the messages.
+  if (Told++ % MessagesPerPeerList == 0)
+    for (const Peer &peer : W.Others.live(now))
+      message.add_peers(base::toString(peer.Address));
   for (const LedgerRun &run : W.Runs.ownRuns())
     *message.add_runs() = toWire(run);
-  for (std::string &id : W.Servers.leaving())
+  for (std::string &id : W.Servers.leaving(now))
     message.add_leaving_servers(std::move(id));
   const std::string bytes = message.SerializeAsString();
   for (const base::Endpoint &to : W.Others.due(now)) {
--- a/src/gateway/gossip.h
+++ b/src/gateway/gossip.h
@@ -40,6 +40,8 @@
   asio::ip::udp::socket Socket;
   asio::steady_timer NextTell;
   bool IsTellDue = false;
+  /// Messages sent so far.
+  std::uint64_t Told = 0;
   std::unique_ptr<http::Server> Control;
 };
 
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -21,7 +21,7 @@
 /// Cost of each token above that limit: a preempted generation is read anew.
 constexpr double OverflowMsPerToken = 2;
 /// Cost of another zone: bytes between zones are paid for.
-constexpr double OtherZoneMs = 20;
+constexpr double OtherZoneMs = 120;
 /// Copies between zones take twice as long.
 constexpr double OtherZoneCopyMs = 400;
 
--- a/test/gateway-test.cc
+++ b/test/gateway-test.cc
@@ -149,7 +149,7 @@
   // It lists itself again: it never left.
   d.put(Start + seconds(9), server("s2"));
   EXPECT_EQ(d.usable(Start + seconds(9), "llm").size(), 2U);
-  EXPECT_TRUE(d.leaving().empty());
+  EXPECT_TRUE(d.leaving(Start + seconds(9)).empty());
 }
 
 TEST(Directory, LeavingServersNeverComeBack) {
@@ -162,7 +162,8 @@
   d.put(Start + seconds(1), s);
   EXPECT_TRUE(d.usable(Start + seconds(1), "llm").empty());
   // Other gateways are told apart from the list.
-  EXPECT_EQ(d.leaving(), std::vector<std::string>{"s1"});
+  EXPECT_EQ(d.leaving(Start), std::vector<std::string>{"s1"});
+  EXPECT_TRUE(d.leaving(Start + seconds(6)).empty());
 }
 
 ServerNotice notice(std::string id, std::uint16_t port) {
@@ -186,7 +187,7 @@
   // A repeated notice does not put it off.
   d.hearNotice(Start + seconds(1), n);
   EXPECT_EQ(d.find("s2")->GoneAt, Start + milliseconds(1'700));
-  EXPECT_EQ(d.leaving(), std::vector<std::string>{"s2"});
+  EXPECT_EQ(d.leaving(Start + seconds(1)), std::vector<std::string>{"s2"});
   // What was told does not change what the list says.
   EXPECT_EQ(d.list()[1].State, ServerState::Ready);
 }
