--- a/include/drumlanding/gateway/config.h
+++ b/include/drumlanding/gateway/config.h
@@ -52,25 +52,19 @@
 
 /// What the engines of a service can do.
 struct EngineTraits {
-  /// Requests that run at once.
-  int Slots = 1;
   /// Tokens that fit into its memory.
   std::uint64_t MemoryTokens = 0;
   std::uint64_t BytesPerToken = 0;
   /// Rate at which memory is copied to another engine.
   double LinkMbps = 0;
-  /// Whether a running generation's memory can be moved, and copied as it
-  /// grows.
+  /// Whether a running generation's memory can be moved.
   bool CanMove = false;
-  bool CanBackUp = false;
   /// Tokens that one event of a stream carries.
   int TokensPerEvent = 1;
 };
 
 struct Service {
   std::string Name;
-  /// Most connections that one backend server takes, from all callers.
-  int MaxConnections = 0;
   /// Empty for plain services.
   std::optional<EngineTraits> Engine;
 };
--- a/include/drumlanding/gateway/dialect.h
+++ b/include/drumlanding/gateway/dialect.h
@@ -54,8 +54,6 @@
   /// 0 is the most urgent, 9 the least.
   std::optional<int> Priority;
   std::optional<Continuation> From;
-  /// Another server that keeps a copy of the generation's memory as it grows.
-  std::optional<base::Endpoint> Backup;
 };
 
 /// What a server's answer says.
@@ -69,8 +67,6 @@
   bool HasNotRun = false;
   /// Another server answers at this address.
   bool IsOtherServer = false;
-  /// The server closes its connections: it may be leaving.
-  bool ClosesConnection = false;
   /// The headers to pass on.
   std::vector<http::Header> Headers;
 };
--- /dev/null
+++ b/src/gateway/datagrams.cc
@@ -0,0 +1,61 @@
+#include "drumlanding/gateway/datagrams.h"
+
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <vector>
+
+namespace drumlanding::gateway {
+namespace {
+
+using asio::ip::udp;
+using boost::system::error_code;
+
+/// The network carries a datagram in one piece or loses it.
+constexpr std::size_t LargestDatagram = 60'000;
+
+udp::endpoint toUdp(const base::Endpoint &e) {
+  error_code ec;
+  return {asio::ip::make_address(e.Address, ec), e.Port};
+}
+
+} // namespace
+
+base::Result<std::unique_ptr<Datagrams>>
+Datagrams::open(asio::io_context &io, const base::Endpoint &at) {
+  std::unique_ptr<Datagrams> datagrams(new Datagrams(io));
+  const udp::endpoint endpoint = toUdp(at);
+  error_code ec;
+  datagrams->Socket.open(endpoint.protocol(), ec);
+  if (!ec)
+    datagrams->Socket.bind(endpoint, ec);
+  if (ec)
+    return base::Error{base::ErrorCode::Unavailable, base::toString(at),
+                       ec.message()};
+  return datagrams;
+}
+
+void Datagrams::send(const base::Endpoint &to, std::string_view bytes) {
+  answer(toUdp(to), bytes);
+}
+
+void Datagrams::answer(const Sender &to, std::string_view bytes) {
+  error_code ec;
+  // A full link loses it: it is told again.
+  Socket.send_to(asio::buffer(bytes), to, 0, ec);
+}
+
+asio::awaitable<void> Datagrams::receive(Handler handle) {
+  std::vector<char> buf(LargestDatagram);
+  for (;;) {
+    Sender from;
+    error_code ec;
+    const std::size_t n = co_await Socket.async_receive_from(
+        asio::buffer(buf), from, asio::redirect_error(asio::use_awaitable, ec));
+    if (ec == asio::error::operation_aborted)
+      co_return;
+    if (!ec)
+      handle({buf.data(), n}, from);
+  }
+}
+
+} // namespace drumlanding::gateway
--- a/src/gateway/event-splitter.cc
+++ b/src/gateway/event-splitter.cc
@@ -1,27 +1,24 @@
 #include "drumlanding/gateway/event-splitter.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace drumlanding::gateway {
 namespace {
 
-struct EventEnd {
-  /// Offset behind the blank line; npos when the event is not whole.
-  std::size_t Offset = std::string_view::npos;
-};
-
-/// Finds the blank line that ends an event.
-EventEnd findEnd(std::string_view text) {
+/// Returns the offset behind the blank line that ends the first event; npos
+/// when the event is not whole.
+std::size_t findEnd(std::string_view text) {
   std::size_t from = 0;
   for (;;) {
     const std::size_t line = text.find('\n', from);
     if (line == std::string_view::npos)
-      return {};
+      return line;
     const std::string_view next = text.substr(line + 1, 2);
     if (next.starts_with('\n'))
-      return {line + 2};
+      return line + 2;
     if (next == "\r\n")
-      return {line + 3};
+      return line + 3;
     from = line + 1;
   }
 }
@@ -64,13 +61,13 @@
   std::string whole;
   std::string_view left = Rest;
   for (;;) {
-    const EventEnd end = findEnd(left);
-    if (end.Offset == std::string_view::npos)
+    const std::size_t end = findEnd(left);
+    if (end == std::string_view::npos)
       break;
-    const std::string_view event = left.substr(0, end.Offset);
+    const std::string_view event = left.substr(0, end);
     if (isNew(event))
       whole += event;
-    left.remove_prefix(end.Offset);
+    left.remove_prefix(end);
   }
   Rest = std::string(left);
   return whole;
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -13,7 +13,6 @@
 namespace drumlanding::gateway {
 namespace {
 
-using asio::ip::udp;
 using base::milliseconds;
 using boost::system::error_code;
 using daemon::sleepFor;
@@ -31,17 +30,10 @@
 constexpr milliseconds ListIsNewer{1'000};
 /// One message in so many carries the addresses of the live gateways.
 constexpr std::uint64_t MessagesPerPeerList = 4;
-/// Largest datagram; the network carries it in one piece or loses it.
-constexpr std::size_t LargestDatagram = 60'000;
 constexpr std::string_view ConfigPath = "/config";
 constexpr std::string_view ServersPath = "/servers";
 constexpr int Fine = 200;
 
-udp::endpoint toUdp(const base::Endpoint &e) {
-  error_code ec;
-  return {asio::ip::make_address(e.Address, ec), e.Port};
-}
-
 wire::Run toWire(const LedgerRun &run) {
   wire::Run out;
   out.set_id(run.Id);
@@ -102,20 +94,15 @@
 
 } // namespace
 
-Gossip::Gossip(World &world) : W(world), Socket(world.Io), NextTell(world.Io) {}
+Gossip::Gossip(World &world) : W(world), NextTell(world.Io) {}
 
 base::Result<std::unique_ptr<Gossip>> Gossip::start(World &world) {
   std::unique_ptr<Gossip> gossip(new Gossip(world));
   Gossip &g = *gossip;
-  error_code ec;
-  const udp::endpoint at = toUdp(world.Settings.ControlListen);
-  g.Socket.open(at.protocol(), ec);
-  if (!ec)
-    g.Socket.bind(at, ec);
-  if (ec)
-    return base::Error{base::ErrorCode::Unavailable,
-                       base::toString(world.Settings.ControlListen),
-                       ec.message()};
+  auto datagrams = Datagrams::open(world.Io, world.Settings.ControlListen);
+  if (!ok(datagrams))
+    return error(datagrams);
+  g.Socket = std::move(value(datagrams));
   auto control =
       http::Server::listen(world.Io, world.Settings.ControlListen, {},
                            [&g](http::Request r, http::Exchange &x) {
@@ -128,26 +115,16 @@
     g.IsTellDue = true;
     g.NextTell.expires_after(GatherNews);
   };
-  asio::co_spawn(world.Io, g.listen(), asio::detached);
+  const auto take = [&g](std::string_view bytes,
+                         const Datagrams::Sender &from) {
+    g.take(bytes, from);
+  };
+  asio::co_spawn(world.Io, g.Socket->receive(take), asio::detached);
   asio::co_spawn(world.Io, g.tell(), asio::detached);
   asio::co_spawn(world.Io, g.catchUp(), asio::detached);
   return gossip;
 }
 
-asio::awaitable<void> Gossip::listen() {
-  std::vector<char> buf(LargestDatagram);
-  for (;;) {
-    udp::endpoint from;
-    error_code ec;
-    const std::size_t n = co_await Socket.async_receive_from(
-        asio::buffer(buf), from, asio::redirect_error(asio::use_awaitable, ec));
-    if (ec == asio::error::operation_aborted)
-      co_return;
-    if (!ec)
-      take({buf.data(), n}, from);
-  }
-}
-
 asio::awaitable<void> Gossip::tell() {
   for (;;) {
     if (!IsTellDue)
@@ -190,18 +167,15 @@
   for (std::string &id : W.Servers.leaving(now))
     message.add_leaving_servers(std::move(id));
   const std::string bytes = message.SerializeAsString();
-  for (const base::Endpoint &to : W.Others.due(now)) {
-    error_code ec;
-    // A full link loses it: the next message says the same.
-    Socket.send_to(asio::buffer(bytes), toUdp(to), 0, ec);
-  }
+  for (const base::Endpoint &to : W.Others.due(now))
+    Socket->send(to, bytes);
 }
 
 void Gossip::sayGoodbye() { tellAll(true); }
 
 /// A sidecar tells of its engine and wants to know the gateways.
 void Gossip::takeNotice(const wire::Gossip &message,
-                        const udp::endpoint &from) {
+                        const Datagrams::Sender &from) {
   const base::Instant now = W.now();
   const wire::EngineNotice &notice = message.notice();
   const auto address = base::parseEndpoint("engine", notice.address());
@@ -221,11 +195,10 @@
   answer.set_incarnation(W.Incarnation);
   for (const Peer &peer : W.Others.live(now))
     answer.add_peers(base::toString(peer.Address));
-  error_code ec;
-  Socket.send_to(asio::buffer(answer.SerializeAsString()), from, 0, ec);
+  Socket->answer(from, answer.SerializeAsString());
 }
 
-void Gossip::take(std::string_view datagram, const udp::endpoint &from) {
+void Gossip::take(std::string_view datagram, const Datagrams::Sender &from) {
   wire::Gossip message;
   if (!message.ParseFromArray(datagram.data(),
                               static_cast<int>(datagram.size())))
--- a/src/gateway/gossip.h
+++ b/src/gateway/gossip.h
@@ -4,10 +4,10 @@
 
 #include "world.h"
 
+#include "drumlanding/gateway/datagrams.h"
 #include "drumlanding/http/http.h"
 
 #include <boost/asio/awaitable.hpp>
-#include <boost/asio/ip/udp.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <memory>
 
@@ -25,19 +25,17 @@
 
 private:
   explicit Gossip(World &world);
-  asio::awaitable<void> listen();
   asio::awaitable<void> tell();
   void tellAll(bool isLast);
-  void take(std::string_view datagram, const asio::ip::udp::endpoint &from);
-  void takeNotice(const wire::Gossip &message,
-                  const asio::ip::udp::endpoint &from);
+  void take(std::string_view datagram, const Datagrams::Sender &from);
+  void takeNotice(const wire::Gossip &message, const Datagrams::Sender &from);
   void hearList(base::Instant now, const wire::Gossip &message);
   asio::awaitable<void> catchUp();
   asio::awaitable<void> fetchConfig(Peer from);
   asio::awaitable<void> fetchServers(Peer from);
 
   World &W;
-  asio::ip::udp::socket Socket;
+  std::unique_ptr<Datagrams> Socket;
   asio::steady_timer NextTell;
   bool IsTellDue = false;
   /// Messages sent so far.
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -6,15 +6,11 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
 
 namespace drumlanding::sidecar {
 namespace {
 
-using asio::ip::udp;
 using base::milliseconds;
-using boost::system::error_code;
 using daemon::sleepFor;
 namespace wire = gateway::wire;
 
@@ -36,14 +32,8 @@
 constexpr int ReportsPerHealth = 5;
 /// Most gateways that are told so each time, in turn.
 constexpr std::size_t MostContacts = 8;
-constexpr std::size_t LargestDatagram = 60'000;
 constexpr int Fine = 200;
 
-udp::endpoint toUdp(const base::Endpoint &e) {
-  error_code ec;
-  return {asio::ip::make_address(e.Address, ec), e.Port};
-}
-
 } // namespace
 
 Sidecar::Sidecar(asio::io_context &io, SidecarSettings settings,
@@ -51,8 +41,7 @@
     : Io(io), Settings(std::move(settings)), Words(std::move(dialect)),
       Log(Settings.Name),
       Gateways(Clock.now().Steady, {Settings.Name, Settings.Listen,
-                                    base::secureRandom64(), Settings.Seeds}),
-      Socket(io) {}
+                                    base::secureRandom64(), Settings.Seeds}) {}
 
 base::Result<std::unique_ptr<Sidecar>>
 Sidecar::start(asio::io_context &io, SidecarSettings settings,
@@ -60,15 +49,13 @@
   std::unique_ptr<Sidecar> sidecar(
       new Sidecar(io, std::move(settings), std::move(dialect)));
   Sidecar &s = *sidecar;
-  error_code ec;
-  const udp::endpoint at = toUdp(s.Settings.Listen);
-  s.Socket.open(at.protocol(), ec);
-  if (!ec)
-    s.Socket.bind(at, ec);
-  if (ec)
-    return base::Error{base::ErrorCode::Unavailable,
-                       base::toString(s.Settings.Listen), ec.message()};
-  asio::co_spawn(io, s.listen(), asio::detached);
+  auto datagrams = gateway::Datagrams::open(io, s.Settings.Listen);
+  if (!ok(datagrams))
+    return error(datagrams);
+  s.Socket = std::move(value(datagrams));
+  const auto hear = [&s](std::string_view bytes,
+                         const gateway::Datagrams::Sender &) { s.hear(bytes); };
+  asio::co_spawn(io, s.Socket->receive(hear), asio::detached);
   asio::co_spawn(io, s.keepContact(), asio::detached);
   asio::co_spawn(io, s.watchEngine(), asio::detached);
   s.Log.write("started", {{"engine", base::toString(s.Settings.Engine)}});
@@ -174,27 +161,15 @@
   if (Last.LeavesIn)
     notice.set_leaves_in_ms(static_cast<std::uint64_t>(Last.LeavesIn->count()));
   const std::string bytes = message.SerializeAsString();
-  for (const base::Endpoint &gateway : to) {
-    error_code ec;
-    // A full link loses it: it is told again.
-    Socket.send_to(asio::buffer(bytes), toUdp(gateway), 0, ec);
-  }
+  for (const base::Endpoint &gateway : to)
+    Socket->send(gateway, bytes);
 }
 
-asio::awaitable<void> Sidecar::listen() {
-  std::vector<char> buf(LargestDatagram);
-  for (;;) {
-    udp::endpoint from;
-    error_code ec;
-    const std::size_t n = co_await Socket.async_receive_from(
-        asio::buffer(buf), from, asio::redirect_error(asio::use_awaitable, ec));
-    if (ec == asio::error::operation_aborted)
-      co_return;
-    wire::Gossip message;
-    if (!ec && message.ParseFromArray(buf.data(), static_cast<int>(n)) &&
-        !message.has_notice())
-      Gateways.heard(Clock.now().Steady, message);
-  }
+void Sidecar::hear(std::string_view bytes) {
+  wire::Gossip message;
+  if (message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) &&
+      !message.has_notice())
+    Gateways.heard(Clock.now().Steady, message);
 }
 
 /// Asks the gateways in turn, so that each is asked seldom.
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -4,13 +4,13 @@
 
 #include "drumlanding/base/result.h"
 #include "drumlanding/base/settings.h"
+#include "drumlanding/gateway/datagrams.h"
 #include "drumlanding/gateway/dialect.h"
 #include "drumlanding/gateway/event-log.h"
 #include "drumlanding/gateway/peers.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/udp.hpp>
 #include <memory>
 
 namespace drumlanding::sidecar {
@@ -41,7 +41,7 @@
   asio::awaitable<void> askUntilBroken();
   asio::awaitable<base::Result<http::Response>>
   ask(http::Connection &connection, http::Request request);
-  asio::awaitable<void> listen();
+  void hear(std::string_view bytes);
   asio::awaitable<void> keepContact();
   void meet(const std::string &id);
   void take(const gateway::ServerReport &report);
@@ -54,7 +54,7 @@
   gateway::EventLog Log;
   base::SystemClock Clock;
   gateway::Peers Gateways;
-  asio::ip::udp::socket Socket;
+  std::unique_ptr<gateway::Datagrams> Socket;
   gateway::ServerReport Last;
   /// The engine's id; empty while it does not answer or is not well.
   std::string EngineId;
--- a/test/forwarding-test.cc
+++ b/test/forwarding-test.cc
@@ -214,7 +214,7 @@
 protected:
   ForwardingTest() {
     Plan.Version = 1;
-    Plan.Services = {{"shop", 0, std::nullopt}, {"llm", 0, engine()}};
+    Plan.Services = {{"shop", std::nullopt}, {"llm", engine()}};
     Plan.Routes = {route("/once/", RequestKind::NonIdempotent, "shop"),
                    route("/often/", RequestKind::Idempotent, "shop"),
                    route("/stream/", RequestKind::Stream, "llm")};
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -126,7 +126,7 @@
                          {"Content-Length", "9"},
                          {"Content-Type", "text/plain"}}};
   gateway::ServerAnswer a = dialect.ReadAnswer(r, head);
-  EXPECT_TRUE(a.IsOwn && a.IsStamped && a.ClosesConnection);
+  EXPECT_TRUE(a.IsOwn && a.IsStamped);
   EXPECT_FALSE(a.HasNotRun);
   EXPECT_EQ(http::findHeader(a.Headers, "content-type"), "text/plain");
   EXPECT_EQ(http::findHeader(a.Headers, "X-Served-Stamp"), "s");
