--- a/include/drumlanding/gateway/directory.h
+++ b/include/drumlanding/gateway/directory.h
@@ -150,7 +150,7 @@
   void miss(base::Instant now, Server &server);
   std::vector<std::string> putAll(base::Instant now,
                                   const std::vector<ListedServer> &servers);
-  void meet(base::Instant now, const ListedServer &seen);
+  void replaceOthersAt(base::Instant now, const ListedServer &seen);
   void changed(std::string_view event, const Server &server) const;
   bool isGraceTime(base::Instant now) const;
 
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -145,16 +145,15 @@
     leave(now, it->second);
 }
 
-/// A server that the list does not hold yet. Whoever had its address has ended.
-void Directory::meet(base::Instant now, const ListedServer &seen) {
+/// Only one server can have an address: whoever else is listed there has ended.
+void Directory::replaceOthersAt(base::Instant now, const ListedServer &seen) {
   for (auto &[id, server] : Servers) {
-    if (server.Listed.Address != seen.Address || server.IsReplaced)
+    if (id == seen.Id || server.Listed.Address != seen.Address ||
+        server.IsReplaced)
       continue;
     server.IsReplaced = true;
     leave(now, server);
   }
-  const auto added = Servers.emplace(seen.Id, Server{seen}).first;
-  changed("server-met", added->second);
 }
 
 void Directory::hearNotice(base::Instant now, const ServerNotice &notice) {
@@ -164,9 +163,11 @@
   if (it == Servers.end() && notice.IsLeaving)
     return;
   if (it == Servers.end()) {
-    meet(now, notice.Seen);
-    return;
+    // The list does not hold it yet.
+    it = Servers.emplace(notice.Seen.Id, Server{notice.Seen}).first;
+    changed("server-met", it->second);
   }
+  replaceOthersAt(now, notice.Seen);
   Server &server = it->second;
   if (!notice.IsLeaving)
     return;
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -58,6 +58,7 @@
   asio::co_spawn(io, s.Socket->receive(hear), asio::detached);
   asio::co_spawn(io, s.keepContact(), asio::detached);
   asio::co_spawn(io, s.watchEngine(), asio::detached);
+  s.MetAt = s.Clock.now().Steady;
   s.Log.write("started", {{"engine", base::toString(s.Settings.Engine)}});
   return sidecar;
 }
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -58,7 +58,7 @@
   gateway::ServerReport Last;
   /// The engine's id; empty while it does not answer or is not well.
   std::string EngineId;
-  /// When the engine on this connection was first met.
+  /// When the engine on this connection was first met, or the process began.
   base::Instant MetAt{};
   base::Instant ToldAt{};
   /// The gateway that is asked next for the list of gateways.
--- a/test/gateway-test.cc
+++ b/test/gateway-test.cc
@@ -219,6 +219,18 @@
   EXPECT_EQ(d.usable(Start + seconds(2), "llm").size(), 1U);
 }
 
+/// The list can hold both for some seconds: eight streams a day were refused.
+TEST(Directory, ANoticeEndsTheListedServerBeforeItAtItsAddress) {
+  Directory d;
+  d.put(Start, server("s1", "llm", "a", 1));
+  d.put(Start, server("n1", "llm", "a", 1));
+  EXPECT_EQ(d.usable(Start, "llm").size(), 2U);
+  d.hearNotice(Start, notice("n1", 1));
+  const auto usable = d.usable(Start, "llm");
+  ASSERT_EQ(usable.size(), 1U);
+  EXPECT_EQ(usable[0]->Listed.Id, "n1");
+}
+
 TEST(Directory, AReplacedServerGetsNothingMore) {
   Directory d;
   d.put(Start, server("s1"));
