Place streams of plain services; outlive the reader of the log

Read in the diff, not seen in a run: a route of streams may send a part to a service without engines (the placement read an empty optional), and a log pipe without a reader would have ended the process. A test for the first.

--- a/src/gateway/main.cc
+++ b/src/gateway/main.cc
@@ -8,6 +8,7 @@
 
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <csignal>
 #include <filesystem>
 #include <gflags/gflags.h>
 
@@ -153,6 +154,8 @@
   if (!ok(settings))
     base::exitOnBadSettings(error(settings));
   boost::asio::io_context io(1);
+  // Whoever reads the log may go away.
+  std::signal(SIGPIPE, SIG_IGN);
   const platform::Store store(value(settings).Store);
   const base::SystemClock clock;
   auto shell =
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -44,11 +44,11 @@
   cost += static_cast<double>(
       std::max(std::int64_t{0}, base::toMs(server.ColdUntil - now)));
   cost += server.FailurePart * FailureMs + strikesOf(server, now) * StrikeMs;
-  const double room = MemoryLimit * static_cast<double>(engine.MemoryTokens) -
-                      static_cast<double>(load.ForecastTokens) - prompt -
-                      demand.ExpectedTokens;
-  if (room < 0)
-    cost -= room * OverflowMsPerToken;
+  const double limit = MemoryLimit * static_cast<double>(engine.MemoryTokens);
+  const double filled =
+      static_cast<double>(load.ForecastTokens) + prompt + demand.ExpectedTokens;
+  if (engine.MemoryTokens > 0 && filled > limit)
+    cost += (filled - limit) * OverflowMsPerToken;
   if (near.empty())
     return server.Listed.Zone == Zone ? cost : cost + OtherZoneMs;
   return server.Listed.Zone == near ? cost : cost + OtherZoneCopyMs;
@@ -58,14 +58,15 @@
                                 const Demand &demand,
                                 std::span<const std::string> tried,
                                 std::string_view near) const {
+  // A route may send a part of its streams to a plain service.
+  const EngineTraits engine = service.Engine.value_or(EngineTraits());
   Choice best;
   for (const Server *server : Servers.usable(now, service.Name)) {
     if (wasTried(tried, server->Listed.Id))
       continue;
     ++best.Candidates;
     const EngineLoad load = Runs.loadOf(server->Listed.Id);
-    const double cost =
-        costOf(now, *server, *service.Engine, load, demand, near);
+    const double cost = costOf(now, *server, engine, load, demand, near);
     if (best.Chosen && cost >= best.CostMs)
       continue;
     best.Chosen = server;
--- a/src/sidecar/main.cc
+++ b/src/sidecar/main.cc
@@ -58,6 +58,8 @@
   if (!ok(settings))
     base::exitOnBadSettings(error(settings));
   boost::asio::io_context io(1);
+  // Whoever reads the log may go away.
+  std::signal(SIGPIPE, SIG_IGN);
   auto sidecar =
       sidecar::Sidecar::start(io, value(settings), platform::makeDialect());
   if (!ok(sidecar))
--- a/test/gateway-test.cc
+++ b/test/gateway-test.cc
@@ -559,6 +559,16 @@
             "cold");
 }
 
+/// Configs divide routes of streams between an engine and a plain service.
+TEST_F(PlacementTest, StreamsOfPlainServicesFindAServer) {
+  Servers.put(Start, server("plain", "shop"));
+  Service shop;
+  shop.Name = "shop";
+  const Choice c = Placing.forGeneration(Start, shop, {3'000, 1'000}, {});
+  ASSERT_NE(c.Chosen, nullptr);
+  EXPECT_EQ(c.Chosen->Listed.Id, "plain");
+}
+
 TEST_F(PlacementTest, PrefersTheOwnZoneAmongEquals) {
   Servers.put(Start, server("far", "llm", "b"));
   Servers.put(Start, server("near", "llm", "a"));
