--- a/src/ctl/roll-out.cc
+++ b/src/ctl/roll-out.cc
@@ -1,7 +1,7 @@
 #include "roll-out.h"
 
-#include "platform/client.h"
 #include "drumlanding/wire/link.h"
+#include "platform/client.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
--- a/src/entry/shell.h
+++ b/src/entry/shell.h
@@ -12,9 +12,9 @@
 #include "drumlanding/daemon/daemon.h"
 #include "drumlanding/entry/core.h"
 #include "drumlanding/entry/members.h"
-#include "platform/client.h"
 #include "mailbox.h"
 #include "plan-keeper.h"
+#include "platform/client.h"
 
 #include <atomic>
 #include <map>
