Spread the moves of engines that leave together over destinations

Cause: engines are reclaimed several at a time. All their generations went to the engine that held least, the same one for every source, so copies queued on its link (440 and 580 ms for a copy of 220) and the last ones came after the end of the source.

Change: a run tells where its copy is on its way to (copy_server in the gossip, in place of is_copy, which nobody set); placement for moves is a function of its own and counts copies on their way, and each source ranks the destinations a little differently, since engines that leave in the same moment have not heard of each other yet.

--- a/include/drumlanding/gateway/ledger.h
+++ b/include/drumlanding/gateway/ledger.h
@@ -32,14 +32,17 @@
   std::uint32_t MostTokens = 0;
   std::uint32_t MadeTokens = 0;
   bool HasBegun = false;
-  /// True for a copy that only holds memory.
-  bool IsCopy = false;
+  /// The engine that a copy of its memory is on its way to, or at; empty when
+  /// there is none.
+  std::string CopyServer;
   base::Instant Since{};
 };
 
 /// What is known of an engine's work.
 struct EngineLoad {
   int Running = 0;
+  /// Copies of other engines' runs, on their way or there.
+  int IncomingCopies = 0;
   /// Prompt tokens that wait to be read.
   std::uint64_t UnreadTokens = 0;
   /// Memory in use, and forecast for the near future.
@@ -67,7 +70,7 @@
   void tick(base::Instant now);
 
   EngineLoad loadOf(std::string_view server) const;
-  /// All generations on a server, the other gateways' too, without copies.
+  /// All generations that run on a server, the other gateways' too.
   std::vector<LedgerRun> runsOn(std::string_view server) const;
   /// This gateway's runs, to be told to the others.
   std::vector<LedgerRun> ownRuns() const;
@@ -78,8 +81,7 @@
     std::vector<LedgerRun> Runs;
   };
 
-  template <typename Visit>
-  void visit(std::string_view server, Visit visit) const;
+  template <typename Visit> void visit(Visit visit) const;
 
   std::unordered_map<RunId, LedgerRun> Runs;
   std::map<std::string, Peer> Peers;
--- a/include/drumlanding/gateway/placement.h
+++ b/include/drumlanding/gateway/placement.h
@@ -1,7 +1,8 @@
 /// Placement: which backend server takes a request.
 ///
 ///   Placement p(directory, ledger, "hall-a");
-///   const Server *s = p.forGeneration(now, service, demand, tried);
+///   Choice c = p.forGeneration(now, service, demand, tried);
+///   Choice c = p.forMove(now, service, demand, source, tried);
 ///   const Server *s = p.forCall(now, "shop", tried, random);
 #pragma once
 
@@ -34,12 +35,17 @@
   Placement(const Directory &directory, const Ledger &ledger, std::string zone)
       : Servers(directory), Runs(ledger), Zone(std::move(zone)) {}
 
-  /// Chooses an engine by the delay that the generation would meet and cause
-  /// there, and by the memory that it would find. `near` is the zone that a
-  /// copy comes from, for moves; empty for new generations.
+  /// Chooses an engine for a new generation by the delay that it would meet and
+  /// cause there, and by the memory that it would find.
   Choice forGeneration(base::Instant now, const Service &service,
-                       const Demand &demand, std::span<const std::string> tried,
-                       std::string_view near = {}) const;
+                       const Demand &demand,
+                       std::span<const std::string> tried) const;
+
+  /// Chooses the engine that a running generation moves to from `source`: also
+  /// by the way that its copy has, and by the copies that are on theirs.
+  Choice forMove(base::Instant now, const Service &service,
+                 const Demand &demand, const Server &source,
+                 std::span<const std::string> tried) const;
 
   /// Chooses a plain server: the one with the fewest open requests of this
   /// gateway for its slots, and of equals one of the same zone.
@@ -48,9 +54,10 @@
                         base::Random &random) const;
 
 private:
-  double costOf(base::Instant now, const Server &server,
-                const EngineTraits &engine, const EngineLoad &load,
-                const Demand &demand, std::string_view near) const;
+  /// Returns the engine with the least cost of its own and of its way.
+  template <typename WayCost>
+  Choice choose(base::Instant now, const Service &service, const Demand &demand,
+                std::span<const std::string> tried, WayCost wayCost) const;
 
   const Directory &Servers;
   const Ledger &Runs;
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -43,7 +43,7 @@
   out.set_most_tokens(run.MostTokens);
   out.set_made_tokens(run.MadeTokens);
   out.set_has_begun(run.HasBegun);
-  out.set_is_copy(run.IsCopy);
+  out.set_copy_server(run.CopyServer);
   return out;
 }
 
@@ -56,7 +56,7 @@
   out.MostTokens = run.most_tokens();
   out.MadeTokens = run.made_tokens();
   out.HasBegun = run.has_begun();
-  out.IsCopy = run.is_copy();
+  out.CopyServer = run.copy_server();
   return out;
 }
 
--- a/src/gateway/ledger.cc
+++ b/src/gateway/ledger.cc
@@ -14,12 +14,19 @@
 /// has made: estimates are right at the median and widely spread.
 constexpr double OutrunPart = 0.5;
 
-void add(EngineLoad &load, const LedgerRun &run) {
-  const std::uint32_t remaining = expectedRemaining(run);
-  load.UsedTokens += run.PromptTokens + run.MadeTokens;
-  load.ForecastTokens += run.PromptTokens + run.MadeTokens + remaining;
-  if (run.IsCopy)
-    return;
+void addMemory(EngineLoad &load, const LedgerRun &run) {
+  const std::uint32_t used = run.PromptTokens + run.MadeTokens;
+  load.UsedTokens += used;
+  load.ForecastTokens += used + expectedRemaining(run);
+}
+
+void addCopy(EngineLoad &load, const LedgerRun &run) {
+  addMemory(load, run);
+  ++load.IncomingCopies;
+}
+
+void addRun(EngineLoad &load, const LedgerRun &run) {
+  addMemory(load, run);
   ++load.Running;
   if (!run.HasBegun)
     load.UnreadTokens += run.PromptTokens;
@@ -60,27 +67,29 @@
   });
 }
 
-template <typename Visit>
-void Ledger::visit(std::string_view server, Visit visit) const {
+template <typename Visit> void Ledger::visit(Visit visit) const {
   for (const auto &[id, run] : Runs)
-    if (run.Server == server)
-      visit(run);
+    visit(run);
   for (const auto &[name, peer] : Peers)
     for (const LedgerRun &run : peer.Runs)
-      if (run.Server == server)
-        visit(run);
+      visit(run);
 }
 
 EngineLoad Ledger::loadOf(std::string_view server) const {
   EngineLoad load;
-  visit(server, [&](const LedgerRun &run) { add(load, run); });
+  visit([&](const LedgerRun &run) {
+    if (run.Server == server)
+      addRun(load, run);
+    else if (run.CopyServer == server)
+      addCopy(load, run);
+  });
   return load;
 }
 
 std::vector<LedgerRun> Ledger::runsOn(std::string_view server) const {
   std::vector<LedgerRun> runs;
-  visit(server, [&](const LedgerRun &run) {
-    if (!run.IsCopy)
+  visit([&](const LedgerRun &run) {
+    if (run.Server == server)
       runs.push_back(run);
   });
   return runs;
--- a/src/gateway/mover.cc
+++ b/src/gateway/mover.cc
@@ -50,6 +50,7 @@
   LedgerRun run;
   run.Id = Id;
   run.Server = Server;
+  run.CopyServer = CopyServer;
   run.PromptTokens = F.Request.PromptTokens;
   run.ExpectedTokens = F.Request.ExpectedTokens;
   run.MostTokens = F.Request.MostTokens;
@@ -172,11 +173,33 @@
   co_return true;
 }
 
+/// Tells the other gateways where a copy goes, so that theirs go elsewhere.
+void Mover::announceCopy(const StreamRunPointer &run, std::string server) {
+  run->CopyServer = std::move(server);
+  W.Runs.begin(run->ledgerRun());
+  W.TellPeers();
+}
+
 asio::awaitable<void> Mover::freeCopy(base::Endpoint at, std::string handle) {
   http::Request request = W.Words.ToFreeCopy(handle);
   co_await http::fetch(at, std::move(request), FreeLimit);
 }
 
+/// Notes that a last copy has stopped the run, and where it goes on.
+void Mover::stopped(const StreamRunPointer &run, const Server &source,
+                    const Server &destination, const MoveAnswer &answer) {
+  // When the last copy failed, the source has kept the memory.
+  const bool isComplete = answer.What == Outcome::Copied;
+  run->Next = Continuation{source.Listed.Address, answer.Handle, 0};
+  run->NextServer = isComplete ? destination.Listed.Id : source.Listed.Id;
+  // The next run's turn comes with this news.
+  LedgerRun moved = run->ledgerRun();
+  moved.Server = run->NextServer;
+  moved.CopyServer.clear();
+  W.Runs.begin(moved);
+  W.TellPeers();
+}
+
 /// Returns true when the run has stopped, or is over, and false when another
 /// destination may be tried.
 asio::awaitable<bool> Mover::moveTo(StreamRunPointer run, Server source,
@@ -188,15 +211,7 @@
   const MoveAnswer answer = co_await copy(run, source, destination, true);
   if (answer.Handle.empty())
     co_return false;
-  // When the last copy failed, the source has stopped and kept the memory.
-  const bool isComplete = answer.What == Outcome::Copied;
-  run->Next = Continuation{source.Listed.Address, answer.Handle, 0};
-  run->NextServer = isComplete ? destination.Listed.Id : source.Listed.Id;
-  // The next run's turn comes with this news.
-  LedgerRun moved = run->ledgerRun();
-  moved.Server = run->NextServer;
-  W.Runs.begin(moved);
-  W.TellPeers();
+  stopped(run, source, destination, answer);
   co_return true;
 }
 
@@ -208,13 +223,13 @@
     if (!source)
       break;
     const Server from = *source;
-    const Choice choice = W.Placing.forGeneration(W.now(), *run->F.TheService,
-                                                  run->remainingDemand(), tried,
-                                                  from.Listed.Zone);
+    const Choice choice = W.Placing.forMove(
+        W.now(), *run->F.TheService, run->remainingDemand(), from, tried);
     if (!choice.Chosen)
       break;
     const Server to = *choice.Chosen;
     tried.push_back(to.Listed.Id);
+    announceCopy(run, to.Listed.Id);
     W.Log.write("move-begun",
                 {{"request", run->F.Request.AttemptId},
                  {"from", sourceId},
@@ -226,6 +241,8 @@
       break;
   }
   run->IsMoving = false;
+  if (run->isOn(sourceId))
+    announceCopy(run, "");
   run->MoveEnded.cancel();
   // It may have come to another server that leaves meanwhile.
   if (!run->isOn(sourceId))
--- a/src/gateway/mover.h
+++ b/src/gateway/mover.h
@@ -24,6 +24,8 @@
   Forwarding &F;
   RunId Id = 0;
   std::string Server;
+  /// The engine that a copy of its memory is on its way to; empty when none is.
+  std::string CopyServer;
   EventSplitter Events;
   bool IsOver = false;
   /// A move is under way: the end of the connection is part of it.
@@ -60,6 +62,9 @@
   asio::awaitable<void> move(StreamRunPointer run, std::string source);
   asio::awaitable<bool> moveTo(StreamRunPointer run, Server source,
                                Server destination);
+  void announceCopy(const StreamRunPointer &run, std::string server);
+  void stopped(const StreamRunPointer &run, const Server &source,
+               const Server &destination, const MoveAnswer &answer);
   asio::awaitable<void> waitForTurn(StreamRunPointer run, std::string source);
   asio::awaitable<bool> copyWhileRunning(StreamRunPointer run, Server source,
                                          Server destination);
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -24,6 +24,12 @@
 constexpr double OtherZoneMs = 120;
 /// Copies between zones take twice as long.
 constexpr double OtherZoneCopyMs = 400;
+/// Cost of each copy that is on its way to an engine: copies wait for each
+/// other on its link, a quarter of a second each.
+constexpr double IncomingCopyMs = 400;
+/// Engines that leave at the same moment have not heard of each other's copies
+/// yet: each ranks the destinations a little differently, up to this.
+constexpr double SpreadMs = 300;
 
 /// The same for plain servers, in open requests.
 constexpr double FailureRank = 2;
@@ -33,31 +39,36 @@
   return std::find(tried.begin(), tried.end(), id) != tried.end();
 }
 
-} // namespace
-
-double Placement::costOf(base::Instant now, const Server &server,
-                         const EngineTraits &engine, const EngineLoad &load,
-                         const Demand &demand, std::string_view near) const {
-  const double prompt = demand.PromptTokens;
+/// Returns what a generation meets and causes on an engine.
+double engineCost(base::Instant now, const Server &server,
+                  const EngineTraits &engine, const EngineLoad &load,
+                  const Demand &demand) {
   double cost = static_cast<double>(load.UnreadTokens) * ReadMsPerToken;
   cost += static_cast<double>(load.ForecastTokens) * HoldMsPerToken;
   cost += static_cast<double>(
       std::max(std::int64_t{0}, base::toMs(server.ColdUntil - now)));
   cost += server.FailurePart * FailureMs + strikesOf(server, now) * StrikeMs;
   const double limit = MemoryLimit * static_cast<double>(engine.MemoryTokens);
-  const double filled =
-      static_cast<double>(load.ForecastTokens) + prompt + demand.ExpectedTokens;
+  const double filled = static_cast<double>(load.ForecastTokens) +
+                        demand.PromptTokens + demand.ExpectedTokens;
   if (engine.MemoryTokens > 0 && filled > limit)
     cost += (filled - limit) * OverflowMsPerToken;
-  if (near.empty())
-    return server.Listed.Zone == Zone ? cost : cost + OtherZoneMs;
-  return server.Listed.Zone == near ? cost : cost + OtherZoneCopyMs;
+  return cost;
 }
 
-Choice Placement::forGeneration(base::Instant now, const Service &service,
-                                const Demand &demand,
-                                std::span<const std::string> tried,
-                                std::string_view near) const {
+/// Returns a fixed number from 0 to 1 for a pair of servers.
+double rankOf(const Server &a, const Server &b) {
+  base::Random random(base::hash64(a.Listed.Id, base::hash64(b.Listed.Id)));
+  return random.unit();
+}
+
+} // namespace
+
+template <typename WayCost>
+Choice Placement::choose(base::Instant now, const Service &service,
+                         const Demand &demand,
+                         std::span<const std::string> tried,
+                         WayCost wayCost) const {
   // A route may send a part of its streams to a plain service.
   const EngineTraits engine = service.Engine.value_or(EngineTraits());
   Choice best;
@@ -66,7 +77,8 @@
       continue;
     ++best.Candidates;
     const EngineLoad load = Runs.loadOf(server->Listed.Id);
-    const double cost = costOf(now, *server, engine, load, demand, near);
+    const double cost =
+        engineCost(now, *server, engine, load, demand) + wayCost(*server, load);
     if (best.Chosen && cost >= best.CostMs)
       continue;
     best.Chosen = server;
@@ -76,6 +88,27 @@
   return best;
 }
 
+Choice Placement::forGeneration(base::Instant now, const Service &service,
+                                const Demand &demand,
+                                std::span<const std::string> tried) const {
+  const auto wayCost = [this](const Server &server, const EngineLoad &) {
+    return server.Listed.Zone == Zone ? 0 : OtherZoneMs;
+  };
+  return choose(now, service, demand, tried, wayCost);
+}
+
+Choice Placement::forMove(base::Instant now, const Service &service,
+                          const Demand &demand, const Server &source,
+                          std::span<const std::string> tried) const {
+  const auto wayCost = [&](const Server &server, const EngineLoad &load) {
+    const bool isNear = server.Listed.Zone == source.Listed.Zone;
+    return (isNear ? 0 : OtherZoneCopyMs) +
+           load.IncomingCopies * IncomingCopyMs +
+           SpreadMs * rankOf(source, server);
+  };
+  return choose(now, service, demand, tried, wayCost);
+}
+
 const Server *Placement::forCall(base::Instant now, std::string_view service,
                                  std::span<const std::string> tried,
                                  base::Random &random) const {
--- a/src/gateway/stream-forwarder.cc
+++ b/src/gateway/stream-forwarder.cc
@@ -55,6 +55,7 @@
 
 void StreamForwarder::enterLedger(const std::string &server) {
   Run->Server = server;
+  Run->CopyServer.clear();
   LedgerRun run = Run->ledgerRun();
   run.Since = W.now();
   W.Runs.begin(run);
--- a/test/gateway-test.cc
+++ b/test/gateway-test.cc
@@ -14,6 +14,7 @@
 #include <fcntl.h>
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
+#include <set>
 #include <unistd.h>
 
 namespace drumlanding::gateway {
@@ -575,11 +576,43 @@
   EXPECT_EQ(Placing.forGeneration(Start, Llm, {100, 10}, {}).Chosen->Listed.Id,
             "near");
   // A move looks at the zone that the copy comes from.
+  const Server source{server("source", "llm", "b")};
   EXPECT_EQ(
-      Placing.forGeneration(Start, Llm, {100, 10}, {}, "b").Chosen->Listed.Id,
+      Placing.forMove(Start, Llm, {100, 10}, source, {}).Chosen->Listed.Id,
       "far");
 }
 
+/// Three engines of one zone left at once, and all their generations went to
+/// one destination after another: each copy waited behind two others, and the
+/// last ones came after the engines' end (lernwerk-ob-grown scale-1, 21 streams
+/// cut).
+TEST_F(PlacementTest, MovesOfSeveralSourcesSpreadOverDestinations) {
+  constexpr int Destinations = 12;
+  for (int i = 0; i < Destinations; ++i)
+    Servers.put(Start, server("d" + std::to_string(i)));
+  std::set<std::string> chosen;
+  for (const char *id : {"u", "v", "w", "x", "y", "z"}) {
+    const Server source{server(id)};
+    const Choice c = Placing.forMove(Start, Llm, {3'000, 500}, source, {});
+    chosen.insert(c.Chosen->Listed.Id);
+  }
+  EXPECT_GE(chosen.size(), 4U);
+}
+
+TEST_F(PlacementTest, AMoveKeepsAwayFromWhereAnotherCopyGoes) {
+  Servers.put(Start, server("d1"));
+  Servers.put(Start, server("d2"));
+  const Server source{server("source")};
+  const std::string first =
+      Placing.forMove(Start, Llm, {3'000, 500}, source, {}).Chosen->Listed.Id;
+  LedgerRun moving = run(1, "other", 3'000);
+  moving.CopyServer = first;
+  Runs.begin(moving);
+  EXPECT_NE(
+      Placing.forMove(Start, Llm, {3'000, 500}, source, {}).Chosen->Listed.Id,
+      first);
+}
+
 TEST_F(PlacementTest, NeverChoosesLeavingOrTriedServers) {
   Servers.put(Start, server("s1"));
   Servers.put(Start, server("s2"));
