Ask sidecars who is there, try struck engines with short generations, move what has begun first

- After a power loss of all, the store lists the engines of before for seconds, and a gateway heard of the new ones only after 0.9 s: 148 streams were refused by 421.
Now a gateway asks the process beside an engine when the engine is newly listed, and when another server has answered there; gateways tell of themselves at once after a start and answer newcomers at once.
- Engines that reset every request but say that they are well (lying health) were tried again by the most valuable streams, several at a time: 25 lost.
Now only a short generation, one at a time, is a trial; strikes last 10 s.
Ruled out: probes that must not run (no id: 400; another server's id: 421) were answered well 6,000 times of 6,000 by such engines, so nothing but callers' requests shows them.
Now what has begun goes first, a copy under way is not overtaken, then worth for the time of the copy.
- Calls to the store: list changes are gathered for 400 ms, config is watched for 12 s at a time by gateways that hear of changes from others.

The test ProgressDoesNotChangeTheOrder let one of two runs begin between its two looks; beginning now decides by design, so both have begun there, and WhatHasNotBegunHoldsNobodyUp pins the new order.

--- a/include/drumlanding/gateway/directory.h
+++ b/include/drumlanding/gateway/directory.h
@@ -93,6 +93,9 @@
 
   /// Called when a server is first known to leave.
   std::function<void(const Server &)> OnLeaving;
+  /// Called when a server is newly listed, or another one has answered at its
+  /// address: the list may lag behind what is there.
+  std::function<void(const Server &)> OnUnsure;
   /// Called with a sentence for each change of what is believed.
   std::function<void(std::string_view event, const Server &)> OnChange;
 
--- a/include/drumlanding/gateway/move-plan.h
+++ b/include/drumlanding/gateway/move-plan.h
@@ -21,8 +21,8 @@
 bool mayOutlastNotice(const LedgerRun &run);
 
 /// True when no generation that comes before `own` is among those that still
-/// run there. Those that may go on for long come first, of these the ones that
-/// are worth most.
+/// run there. Those that have begun and may go on for long come first, of these
+/// the ones that are worth most for the time that their copy takes.
 bool isTurn(std::span<const LedgerRun> there, const LedgerRun &own);
 
 /// Returns how long a copy takes when nothing else is on the links.
--- a/include/drumlanding/gateway/peers.h
+++ b/include/drumlanding/gateway/peers.h
@@ -45,9 +45,13 @@
 public:
   Peers(base::Instant now, PeersOptions options);
 
-  /// Notes a message from another gateway; false when it is our own or says
-  /// nothing of use.
-  bool heard(base::Instant now, const wire::Gossip &gossip);
+  enum class Heard {
+    Nothing,  ///< Our own message, or one that says nothing of use.
+    Newcomer, ///< The first message in a life of the other gateway.
+    Known,
+  };
+  /// Notes a message from another gateway.
+  Heard heard(base::Instant now, const wire::Gossip &gossip);
 
   /// Returns whom to tell now: everyone live, and the seeds and addresses
   /// heard of that have not answered, more seldom.
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -22,8 +22,9 @@
 constexpr base::milliseconds MostAvoidTime{8'000};
 /// The others are told of a leaving server for so long: ten messages.
 constexpr base::seconds TellLeaving{5};
-/// Strikes are forgotten this long after the last time of avoidance.
-constexpr base::milliseconds StrikeTime{2'000};
+/// Strikes are forgotten this long after the last time of avoidance, in case
+/// that no short request comes as a trial.
+constexpr base::milliseconds StrikeTime{10'000};
 /// One that could not be reached gets no new work for this long.
 constexpr base::milliseconds UnreachableTime{1'000};
 
@@ -77,6 +78,8 @@
     added->second.IsListed = true;
     added->second.ColdUntil = now + listed.ColdLeft;
     changed("server-listed", added->second);
+    if (OnUnsure)
+      OnUnsure(added->second);
     if (listed.State == ServerState::Leaving)
       leave(now, added->second);
     return;
@@ -184,6 +187,8 @@
     return;
   it->second.IsReplaced = true;
   leave(now, it->second);
+  if (OnUnsure)
+    OnUnsure(it->second);
 }
 
 void Directory::storeFailed(base::Instant now) {
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -120,6 +120,7 @@
     g.take(bytes, from);
   };
   asio::co_spawn(world.Io, g.Socket->receive(take), asio::detached);
+  world.Servers.OnUnsure = [&g](const Server &server) { g.askBeside(server); };
   asio::co_spawn(world.Io, g.tell(), asio::detached);
   asio::co_spawn(world.Io, g.catchUp(), asio::detached);
   return gossip;
@@ -173,6 +174,24 @@
 
 void Gossip::sayGoodbye() { tellAll(true); }
 
+/// Asks the process beside an engine who is there: after a restart of all, the
+/// store lists the engines of before for seconds.
+void Gossip::askBeside(const Server &server) {
+  if (W.Settings.SidecarPort == 0)
+    return;
+  const Service *service =
+      W.Routes ? W.Routes->config().service(server.Listed.Service) : nullptr;
+  if (service && !service->Engine)
+    return;
+  wire::Gossip message;
+  message.set_name(W.Settings.Name);
+  message.set_address(base::toString(W.Settings.ControlListen));
+  message.set_incarnation(W.Incarnation);
+  message.set_asks_notice(true);
+  Socket->send({server.Listed.Address.Address, W.Settings.SidecarPort},
+               message.SerializeAsString());
+}
+
 /// A sidecar tells of its engine and wants to know the gateways.
 void Gossip::takeNotice(const wire::Gossip &message,
                         const Datagrams::Sender &from) {
@@ -208,8 +227,12 @@
     takeNotice(message, from);
     return;
   }
-  if (!W.Others.heard(now, message))
+  const Peers::Heard heard = W.Others.heard(now, message);
+  if (heard == Peers::Heard::Nothing)
     return;
+  // Who has just started knows nobody yet.
+  if (heard == Peers::Heard::Newcomer && !message.is_last())
+    W.TellPeers();
   std::vector<LedgerRun> runs;
   for (const wire::Run &run : message.runs())
     runs.push_back(fromWire(run));
--- a/src/gateway/gossip.h
+++ b/src/gateway/gossip.h
@@ -28,6 +28,7 @@
   asio::awaitable<void> tell();
   void tellAll(bool isLast);
   void take(std::string_view datagram, const Datagrams::Sender &from);
+  void askBeside(const Server &server);
   void takeNotice(const wire::Gossip &message, const Datagrams::Sender &from);
   void hearList(base::Instant now, const wire::Gossip &message);
   asio::awaitable<void> catchUp();
@@ -37,7 +38,8 @@
   World &W;
   std::unique_ptr<Datagrams> Socket;
   asio::steady_timer NextTell;
-  bool IsTellDue = false;
+  /// News are to be told: at the start, that this gateway is there.
+  bool IsTellDue = true;
   /// Messages sent so far.
   std::uint64_t Told = 0;
   std::unique_ptr<http::Server> Control;
--- a/src/gateway/main.cc
+++ b/src/gateway/main.cc
@@ -22,6 +22,9 @@
 DEFINE_string(platform, "", "[network] IP:port of the platform's store");
 DEFINE_string(seeds, "",
               "[network] addresses of some gateways, separated by commas");
+DEFINE_int32(sidecar_port, 0,
+             "[network] UDP port of the processes beside engines, 1 to 65535; "
+             "0 when there are none");
 DEFINE_double(retry_part, 0.2,
               "[decisions] second sends for each request, 0 to 1");
 DEFINE_double(retry_extra, 0,
@@ -40,9 +43,9 @@
 using namespace drumlanding;
 
 constexpr std::string_view Flags[] = {
-    "node_file",      "listen",   "ready_listen", "gateway_listen",
-    "platform",       "seeds",    "retry_part",   "retry_extra",
-    "retry_window_s", "drain_ms", "grace_s"};
+    "node_file",   "listen",   "ready_listen",   "gateway_listen",
+    "platform",    "seeds",    "sidecar_port",   "retry_part",
+    "retry_extra", "drain_ms", "retry_window_s", "grace_s"};
 
 base::milliseconds toMilliseconds(double seconds) {
   return base::milliseconds(static_cast<std::int64_t>(seconds * 1000));
@@ -83,6 +86,9 @@
   settings.Zone = value(process).FailureDomain;
   if (auto r = readAddresses(settings); !ok(r))
     return error(r);
+  if (FLAGS_sidecar_port < 0 || FLAGS_sidecar_port > 65'535)
+    return base::invalid("--sidecar_port", "must be from 0 to 65535");
+  settings.SidecarPort = static_cast<std::uint16_t>(FLAGS_sidecar_port);
   if (FLAGS_retry_part < 0 || FLAGS_retry_part > 1)
     return base::invalid("--retry_part", "must be from 0 to 1");
   if (FLAGS_retry_extra < 0)
--- a/src/gateway/move-plan.cc
+++ b/src/gateway/move-plan.cc
@@ -11,20 +11,28 @@
 constexpr std::uint32_t TokensInNotice = 150;
 /// An output token is worth this many prompt tokens to the callers (from their
 /// sheet of what counts).
-constexpr std::uint64_t OutputWeight = 10;
+constexpr double OutputWeight = 10;
 /// Copies between zones take twice as long as within one.
 constexpr int OtherZoneFactor = 2;
 constexpr double BitsPerByte = 8;
 
-/// Only what every gateway knows alike and what does not change decides.
-std::uint64_t worthOf(const LedgerRun &run) {
-  const std::uint64_t output = std::min(run.ExpectedTokens, run.MostTokens);
-  return run.PromptTokens + OutputWeight * output;
+/// Returns what a run is worth for the time that its copy takes. Only what
+/// every gateway knows alike and what does not change decides.
+double worthOf(const LedgerRun &run) {
+  const double output = std::min(run.ExpectedTokens, run.MostTokens);
+  const double prompt = std::max(run.PromptTokens, 1U);
+  return (prompt + OutputWeight * output) / prompt;
 }
 
+/// A copy that is under way is not overtaken, and what has not begun has
+/// nothing to copy yet.
 bool comesBefore(const LedgerRun &a, const LedgerRun &b) {
-  return std::make_tuple(mayOutlastNotice(a), worthOf(a), a.Id) >
-         std::make_tuple(mayOutlastNotice(b), worthOf(b), b.Id);
+  const auto rank = [](const LedgerRun &run) {
+    const bool isMoving = run.HasBegun && !run.CopyServer.empty();
+    return std::make_tuple(isMoving, run.HasBegun, mayOutlastNotice(run),
+                           worthOf(run), run.Id);
+  };
+  return rank(a) > rank(b);
 }
 
 } // namespace
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -45,14 +45,16 @@
   it->second.AddedAt = now;
 }
 
-bool Peers::heard(base::Instant now, const wire::Gossip &gossip) {
+Peers::Heard Peers::heard(base::Instant now, const wire::Gossip &gossip) {
   const auto address = base::parseEndpoint("peer", gossip.address());
   if (!ok(address) || value(address) == Options.Own)
-    return false;
+    return Heard::Nothing;
   add(now, value(address));
   Contact &contact = Contacts[gossip.address()];
   contact.HasAnswered = !gossip.is_last();
   Peer &peer = contact.Known;
+  const bool isNew = peer.HeardAt == base::Instant{} ||
+                     peer.Incarnation != gossip.incarnation();
   peer.Name = gossip.name();
   peer.Incarnation = gossip.incarnation();
   peer.HeardAt = now;
@@ -65,7 +67,7 @@
     if (ok(endpoint))
       add(now, value(endpoint));
   }
-  return true;
+  return isNew ? Heard::Newcomer : Heard::Known;
 }
 
 std::vector<base::Endpoint> Peers::due(base::Instant now) {
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -16,6 +16,12 @@
 /// is the emptiest of all.
 constexpr double FailureMs = 2'000;
 constexpr double StrikeMs = 500;
+/// Cost of such an engine for what should not be its next trial: a generation
+/// that is worth much, or a second one while the first has not come back.
+constexpr double UntriedMs = 10'000;
+/// Output of a generation that is worth little, from the callers' sheets: their
+/// short kind makes some 16 tokens, the long one 750.
+constexpr std::uint32_t TrialTokens = 100;
 /// Above this part of its memory an engine begins to preempt.
 constexpr double MemoryLimit = 0.92;
 /// Cost of each token above that limit: a preempted generation is read anew.
@@ -23,7 +29,7 @@
 /// Cost of another zone: bytes between zones are paid for.
 constexpr double OtherZoneMs = 120;
 /// Copies between zones take twice as long.
-constexpr double OtherZoneCopyMs = 400;
+constexpr double OtherZoneCopyMs = 900;
 /// Cost of each copy that is on its way to an engine: copies wait for each
 /// other on its link, a quarter of a second each.
 constexpr double IncomingCopyMs = 400;
@@ -39,6 +45,12 @@
   return std::find(tried.begin(), tried.end(), id) != tried.end();
 }
 
+/// True when a generation may show whether an engine that broke answers is well
+/// again: a short one, and one at a time.
+bool isTrial(const Demand &demand, const EngineLoad &load) {
+  return demand.ExpectedTokens <= TrialTokens && load.Running == 0;
+}
+
 /// Returns what a generation meets and causes on an engine.
 double engineCost(base::Instant now, const Server &server,
                   const EngineTraits &engine, const EngineLoad &load,
@@ -47,7 +59,9 @@
   cost += static_cast<double>(load.ForecastTokens) * HoldMsPerToken;
   cost += static_cast<double>(
       std::max(std::int64_t{0}, base::toMs(server.ColdUntil - now)));
-  cost += server.FailurePart * FailureMs + strikesOf(server, now) * StrikeMs;
+  cost += server.FailurePart * FailureMs;
+  if (const int strikes = strikesOf(server, now); strikes > 0)
+    cost += isTrial(demand, load) ? strikes * StrikeMs : UntriedMs;
   const double limit = MemoryLimit * static_cast<double>(engine.MemoryTokens);
   const double filled = static_cast<double>(load.ForecastTokens) +
                         demand.PromptTokens + demand.ExpectedTokens;
--- a/src/gateway/store-watch.cc
+++ b/src/gateway/store-watch.cc
@@ -13,11 +13,19 @@
 /// A watch that says nothing for so long is asked anew, so that a connection
 /// that died in silence is noticed.
 constexpr milliseconds WatchWait{4'000};
-/// Servers write their entries all the time: changes are taken in together.
-constexpr milliseconds GatherTime{150};
-/// First pause before asking a store again that is away, and the longest.
+/// The same for a gateway that hears of changes from others: each call to the
+/// store is paid for.
+constexpr milliseconds RelayedWatchWait{12'000};
+/// Servers write their entries all the time: changes are taken in together. A
+/// server that leaves serves for two seconds and longer.
+constexpr milliseconds GatherTime{400};
+/// Pause before the whole is read anew after a lost history.
+constexpr milliseconds ReadAgainPause{150};
+/// First pause before asking a store again that is away, and the longest, also
+/// for a gateway that hears of changes from others.
 constexpr milliseconds FirstPause{100};
 constexpr milliseconds LongestPause{400};
+constexpr milliseconds LongestRelayedPause{1'000};
 
 /// Tells whether the store answers, once for each change.
 class StoreHealth {
@@ -39,7 +47,8 @@
       W.Log.write("store-lost", {{"what", What}, {"why", describe(e)}});
     IsAway = true;
     const milliseconds pause = Pause;
-    Pause = std::min(Pause * 2, LongestPause);
+    Pause =
+        std::min(Pause * 2, W.WatchesList ? LongestPause : LongestRelayedPause);
     return pause;
   }
 
@@ -82,7 +91,8 @@
 asio::awaitable<base::Error> followConfig(World &world, StoreHealth &health,
                                           std::uint64_t revision) {
   for (;;) {
-    auto news = co_await world.From.WatchConfig(revision, WatchWait);
+    const milliseconds wait = world.WatchesList ? WatchWait : RelayedWatchWait;
+    auto news = co_await world.From.WatchConfig(revision, wait);
     if (!ok(news))
       co_return error(news);
     health.answered();
@@ -123,7 +133,8 @@
     const base::Error e =
         co_await followConfig(world, health, value(read).Revision);
     // Reading anew is the answer to a lost history, but never in a rush.
-    const milliseconds pause = isHistoryGone(e) ? GatherTime : health.failed(e);
+    const milliseconds pause =
+        isHistoryGone(e) ? ReadAgainPause : health.failed(e);
     co_await sleepFor(pause);
   }
 }
@@ -147,7 +158,8 @@
     const base::Error e =
         co_await followServers(world, health, value(read).Revision);
     // Reading anew is the answer to a lost history, but never in a rush.
-    const milliseconds pause = isHistoryGone(e) ? GatherTime : health.failed(e);
+    const milliseconds pause =
+        isHistoryGone(e) ? ReadAgainPause : health.failed(e);
     co_await sleepFor(pause);
   }
 }
--- a/src/gateway/stream-forwarder.cc
+++ b/src/gateway/stream-forwarder.cc
@@ -40,6 +40,7 @@
   asio::awaitable<bool> continueAt(Server server, Continuation from);
   void enterLedger(const std::string &server);
   void leaveLedger();
+  void tellIfLeaving();
   void logEnd(std::string_view how);
 
   Forwarding &F;
@@ -65,9 +66,13 @@
 
 void StreamForwarder::leaveLedger() {
   W.Runs.end(Run->Id);
-  const Server *server = W.Servers.find(Run->Server);
+  tellIfLeaving();
   Run->Server.clear();
-  // Other runs there wait for their turn to move.
+}
+
+/// Other runs on a server that leaves wait for their turn to move.
+void StreamForwarder::tellIfLeaving() {
+  const Server *server = W.Servers.find(Run->Server);
   if (server && server->IsLeaving && W.TellPeers)
     W.TellPeers();
 }
@@ -172,6 +177,8 @@
     LongestPause = std::max(LongestPause, now - LastEvent);
   LastEvent = now;
   W.Runs.progress(Run->Id, Run->madeTokens());
+  if (!IsHeadSent)
+    tellIfLeaving();
   if (!IsHeadSent) {
     IsHeadSent = true;
     if (!co_await X.beginBody(Head.Status, Head.Headers))
--- a/src/gateway/world.h
+++ b/src/gateway/world.h
@@ -30,6 +30,8 @@
   base::Endpoint ControlListen;
   base::Endpoint Store;
   std::vector<base::Endpoint> Seeds;
+  /// The port of the processes beside engines; 0 when there are none.
+  std::uint16_t SidecarPort = 0;
   RetryBudgetOptions Retries;
   /// How long a server that leaves as planned serves at least.
   base::milliseconds Drain{2'000};
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -54,7 +54,9 @@
     return error(datagrams);
   s.Socket = std::move(value(datagrams));
   const auto hear = [&s](std::string_view bytes,
-                         const gateway::Datagrams::Sender &) { s.hear(bytes); };
+                         const gateway::Datagrams::Sender &from) {
+    s.hear(bytes, from);
+  };
   asio::co_spawn(io, s.Socket->receive(hear), asio::detached);
   asio::co_spawn(io, s.keepContact(), asio::detached);
   asio::co_spawn(io, s.watchEngine(), asio::detached);
@@ -149,7 +151,7 @@
   return all.empty() ? Settings.Seeds : all;
 }
 
-void Sidecar::tell(const std::vector<base::Endpoint> &to) {
+std::string Sidecar::notice() const {
   wire::Gossip message;
   message.set_name(Settings.Name);
   message.set_address(base::toString(Settings.Listen));
@@ -161,16 +163,25 @@
   notice.set_is_leaving(Last.IsLeaving);
   if (Last.LeavesIn)
     notice.set_leaves_in_ms(static_cast<std::uint64_t>(Last.LeavesIn->count()));
-  const std::string bytes = message.SerializeAsString();
+  return message.SerializeAsString();
+}
+
+void Sidecar::tell(const std::vector<base::Endpoint> &to) {
+  const std::string bytes = notice();
   for (const base::Endpoint &gateway : to)
     Socket->send(gateway, bytes);
 }
 
-void Sidecar::hear(std::string_view bytes) {
+void Sidecar::hear(std::string_view bytes,
+                   const gateway::Datagrams::Sender &from) {
   wire::Gossip message;
-  if (message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) &&
-      !message.has_notice())
-    Gateways.heard(Clock.now().Steady, message);
+  if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) ||
+      message.has_notice())
+    return;
+  Gateways.heard(Clock.now().Steady, message);
+  // Without an answer from the engine there is nothing to tell.
+  if (message.asks_notice() && !EngineId.empty())
+    Socket->answer(from, notice());
 }
 
 /// Asks the gateways in turn, so that each is asked seldom.
--- a/test/gateway-test.cc
+++ b/test/gateway-test.cc
@@ -663,16 +663,49 @@
 TEST(MovePlan, ProgressDoesNotChangeTheOrder) {
   LedgerRun a = run(1, "s", 1'000);
   LedgerRun b = run(2, "s", 1'000);
+  a.HasBegun = true;
+  b.HasBegun = true;
   const std::vector<LedgerRun> before{a, b};
   const bool aFirst = isTurn(before, a);
   a.MadeTokens = 500;
   b.MadeTokens = 3;
-  b.HasBegun = true;
   const std::vector<LedgerRun> after{a, b};
   EXPECT_EQ(isTurn(after, a), aFirst);
   EXPECT_NE(isTurn(after, b), aFirst);
 }
 
+/// A generation whose prompt was still being read held up the others of a
+/// leaving engine for 0.9 s, and then all copied at once (pwani-minutes-grown
+/// trouble-3, 49 streams cut).
+TEST(MovePlan, WhatHasNotBegunHoldsNobodyUp) {
+  LedgerRun unread = run(1, "s", 1'000, 8'000);
+  LedgerRun begun = run(2, "s", 4'000, 400);
+  begun.HasBegun = true;
+  const std::vector<LedgerRun> there{unread, begun};
+  EXPECT_TRUE(isTurn(there, begun));
+  EXPECT_FALSE(isTurn(there, unread));
+}
+
+TEST(MovePlan, ACopyUnderWayIsNotOvertaken) {
+  LedgerRun moving = run(1, "s", 4'000, 400);
+  moving.HasBegun = true;
+  moving.CopyServer = "d";
+  LedgerRun better = run(2, "s", 1'000, 8'000);
+  better.HasBegun = true;
+  const std::vector<LedgerRun> there{moving, better};
+  EXPECT_TRUE(isTurn(there, moving));
+  EXPECT_FALSE(isTurn(there, better));
+}
+
+TEST(MovePlan, WhatIsWorthMostForItsCopyGoesFirst) {
+  LedgerRun large = run(1, "s", 6'000, 2'000);
+  large.HasBegun = true;
+  LedgerRun small = run(2, "s", 1'500, 2'000);
+  small.HasBegun = true;
+  const std::vector<LedgerRun> there{large, small};
+  EXPECT_TRUE(isTurn(there, small));
+}
+
 TEST(MovePlan, CopiesTakeTheTimeOfTheirBytes) {
   EngineTraits engine;
   engine.BytesPerToken = 18'432;
@@ -704,12 +737,13 @@
   message.add_peers("10.0.0.3:9");
   message.add_peers("10.0.0.1:9");
   message.add_peers("nonsense");
-  EXPECT_TRUE(peers.heard(Start, message));
+  EXPECT_EQ(peers.heard(Start, message), Peers::Heard::Newcomer);
+  EXPECT_EQ(peers.heard(Start, message), Peers::Heard::Known);
   ASSERT_EQ(peers.live(Start).size(), 1U);
   EXPECT_EQ(peers.live(Start)[0].ConfigVersion, 7U);
   EXPECT_EQ(peers.due(Start).size(), 2U);
-  EXPECT_FALSE(peers.heard(Start, gossip("10.0.0.1:9")));
-  EXPECT_FALSE(peers.heard(Start, gossip("garbage")));
+  EXPECT_EQ(peers.heard(Start, gossip("10.0.0.1:9")), Peers::Heard::Nothing);
+  EXPECT_EQ(peers.heard(Start, gossip("garbage")), Peers::Heard::Nothing);
 }
 
 TEST(Peers, SilentOnesAreToldSeldomAndStillCountForAWhile) {
