Pass a move's turn after its last copy again

Passed with the order of the last copy, the next run's copy overtook it: its order had the shorter way to the source, and the last copy waited 0.2 to 0.3 s.

--- a/src/gateway/mover.cc
+++ b/src/gateway/mover.cc
@@ -222,19 +222,14 @@
   const bool isThere = run->isOn(source.Listed.Id);
   if (!isThere || !isCopied)
     co_return !isThere;
-  // The last copy is short, and is at the source before the next run's copy
-  // can be: that need not wait.
-  passTurn(run, destination.Listed.Id);
   const MoveAnswer answer = co_await copy(run, source, destination, true);
-  if (answer.Handle.empty()) {
-    if (run->isOn(source.Listed.Id))
-      announceCopy(run, "");
+  if (answer.Handle.empty())
     co_return false;
-  }
   // When the last copy failed, the source has stopped and kept the memory.
   const bool isComplete = answer.What == Outcome::Copied;
   run->Next = Continuation{source.Listed.Address, answer.Handle, 0};
   run->NextServer = isComplete ? destination.Listed.Id : source.Listed.Id;
+  // Not before: the next run's copy would hold up this last, short one.
   passTurn(run, run->NextServer);
   co_return true;
 }
