Avoid destinations of other copies more

IncomingCopyMs 400 to 1,500: a last copy that waits behind another is a pause of a quarter of a second, more than an engine's whole load weighs.

--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -32,7 +32,7 @@
 constexpr double OtherZoneCopyMs = 900;
 /// Cost of each copy that is on its way to an engine: copies wait for each
 /// other on its link, a quarter of a second each.
-constexpr double IncomingCopyMs = 400;
+constexpr double IncomingCopyMs = 1'500;
 /// Engines that leave at the same moment have not heard of each other's copies
 /// yet: each ranks the destinations a little differently, up to this.
 constexpr double SpreadMs = 300;
