Soak: the real gateways and sidecars under faults from a seed

Separate processes behind loopback proxies that delay, reset, silence and cut one way; signals stop, pause, kill and hang up, restarts and config changes overlap; the store is down, slow and loses answers; servers crash, fail, break off, lose and leave. Callers keep their connections; what they and the servers see is checked against the promises, stricter when only planned work went on or nothing. Storms, planned work and calm take turns.

--- /dev/null
+++ b/support/soak.sh
@@ -0,0 +1,50 @@
+#!/usr/bin/env bash
+# Strikes the real gateways and sidecars with faults and checks the promises.
+#
+#   soak.sh --seed 7 --minutes 2               # one run
+#   soak.sh --seed 100 --runs 50 --jobs 4      # seeds 100 to 149, four at a time
+#   soak.sh --seed 7 -- --gateways 20          # further flags of build/soak
+#
+# The last line of each run says what it saw; a run that broke a promise keeps
+# its folder of settings and logs, whose name is printed.
+set -u
+ROOT=$(cd "$(dirname "$0")/.." && pwd)
+BUILD=${BUILD:-$ROOT/build}
+seed=$RANDOM
+minutes=1
+runs=1
+jobs=1
+while [ $# -gt 0 ]; do
+  case $1 in
+    --seed) seed=$2; shift 2 ;;
+    --minutes) minutes=$2; shift 2 ;;
+    --runs) runs=$2; shift 2 ;;
+    --jobs) jobs=$2; shift 2 ;;
+    --) shift; break ;;
+    *) echo "soak.sh: unknown word $1"; exit 2 ;;
+  esac
+done
+export BUILD
+seconds=$(echo "$minutes * 60" | bc)
+export seconds
+
+one() { # SEED FLAGS...
+  local seed=$1 work code
+  shift
+  work=$(mktemp -d)
+  # Each run has ports of its own.
+  "$BUILD/soak" --programs "$BUILD" --work "$work" --seed "$seed" \
+    --seconds "$seconds" --base_port $((20000 + 10 * (seed % 1000))) "$@" \
+    >"$work/soak.log" 2>&1
+  code=$?
+  grep -E " BROKEN |^soak: " "$work/soak.log"
+  if [ $code = 0 ]; then
+    rm -rf "$work"
+  else
+    echo "soak: seed $seed failed with $code, logs kept in $work"
+  fi
+  return $code
+}
+export -f one
+
+seq "$seed" $((seed + runs - 1)) | xargs -P "$jobs" -I{} bash -c 'one "$@"' _ {} "$@"
--- /dev/null
+++ b/test/soak/faults.cc
@@ -0,0 +1,269 @@
+#include "faults.h"
+
+#include "drumlanding/daemon/sleep.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <csignal>
+#include <fstream>
+
+namespace drumlanding::soak {
+namespace {
+
+using base::milliseconds;
+using daemon::sleepFor;
+
+constexpr milliseconds StormLength{8'000};
+constexpr milliseconds PlannedLength{8'000};
+/// Long enough for what is avoided, forgotten and read again after trouble.
+constexpr milliseconds CalmLength{6'500};
+constexpr milliseconds LookEvery{20};
+/// A gateway that was struck is ready again within this time.
+constexpr milliseconds ReadyLimit{6'000};
+constexpr milliseconds StartTime{1'000};
+constexpr milliseconds TestCallLimit{1'000};
+
+} // namespace
+
+Faults::Faults(asio::io_context &io, Journal &journal, Deployment &deployment,
+               Operators &operators, std::uint64_t seed)
+    : Io(io), Log(journal), All(deployment), Plans(operators), Random(seed) {
+  const bool planned = true;
+  Kinds = {
+      {"kill a gateway", false, [](Faults &f) { return f.killGateway(); }},
+      {"pause a gateway", false, [](Faults &f) { return f.pauseGateway(); }},
+      {"kill all gateways", false,
+       [](Faults &f) { return f.killAllGateways(); }},
+      {"strike a sidecar", false, [](Faults &f) { return f.strikeSidecar(); }},
+      {"store down", false, [](Faults &f) { return f.strikeStore("down=1"); }},
+      {"store slow", false,
+       [](Faults &f) { return f.strikeStore("delay_ms=300"); }},
+      {"store loses answers", false,
+       [](Faults &f) { return f.strikeStore("lose=5"); }},
+      {"link to the store", false,
+       [](Faults &f) { return f.strikeLink(*f.anyGateway().StoreLink); }},
+      {"link to a server", false,
+       [](Faults &f) { return f.strikeLink(f.anyWorker().link()); }},
+      {"link to callers", false,
+       [](Faults &f) { return f.strikeLink(*f.anyGateway().CallerLink); }},
+      {"reset a server's connections", false,
+       [](Faults &f) { return f.resetLink(f.anyWorker().link()); }},
+      {"reset callers' connections", false,
+       [](Faults &f) { return f.resetLink(*f.anyGateway().CallerLink); }},
+      {"crash a server", false, [](Faults &f) { return f.crashWorker(); }},
+      {"worsen a server", false, [](Faults &f) { return f.worsenWorker(); }},
+      {"stop a gateway", planned, [](Faults &f) { return f.stopGateway(); }},
+      {"hang up on a gateway", planned,
+       [](Faults &f) { return f.hangUpGateway(); }},
+      {"empty a server", planned, [](Faults &f) { return f.emptyWorker(); }},
+      {"change the config", planned,
+       [](Faults &f) { return f.changeConfig(); }},
+      {"change the config often", planned,
+       [](Faults &f) { return f.changeConfigOften(); }}};
+}
+
+asio::awaitable<void> Faults::run(base::Instant until) {
+  const std::size_t start = Log.beginFault("start", false);
+  co_await Plans.change();
+  for (const auto &gateway : All.Fleet.All)
+    co_await waitUntilReady(*gateway);
+  // The servers have listed themselves by then.
+  co_await sleepFor(StartTime);
+  Log.endFault(start);
+  co_await calm(CalmLength);
+  while (Journal::now() < until) {
+    co_await phase(StormLength, false);
+    co_await calm(CalmLength);
+    co_await phase(PlannedLength, true);
+    co_await calm(CalmLength);
+  }
+}
+
+asio::awaitable<void> Faults::phase(milliseconds length, bool isPlanned) {
+  Log.print(isPlanned ? "-- planned work" : "-- storm");
+  const base::Instant end = Journal::now() + length;
+  while (Journal::now() < end) {
+    const Kind &kind = Kinds[Random.below(Kinds.size())];
+    // Planned work strikes in storms as well.
+    if (kind.IsPlanned || !isPlanned)
+      asio::co_spawn(Io, strike(kind), asio::detached);
+    co_await sleepFor(between(100, 1'000));
+  }
+}
+
+asio::awaitable<void> Faults::calm(milliseconds length) {
+  while (Open > 0)
+    co_await sleepFor(LookEvery);
+  Log.print("-- calm");
+  co_await sleepFor(length);
+}
+
+asio::awaitable<void> Faults::strike(const Kind &kind) {
+  ++Open;
+  const std::size_t number = Log.beginFault(kind.Name, kind.IsPlanned);
+  co_await kind.Strike(*this);
+  Log.endFault(number);
+  --Open;
+}
+
+Gateway &Faults::anyGateway() {
+  return *All.Fleet.All[Random.below(All.Fleet.All.size())];
+}
+
+Worker &Faults::anyWorker() {
+  return *All.Workers[Random.below(All.Workers.size())];
+}
+
+milliseconds Faults::between(int fromMs, int toMs) {
+  return milliseconds(fromMs + static_cast<int>(Random.below(
+                                   static_cast<std::uint64_t>(toMs - fromMs))));
+}
+
+asio::awaitable<void> Faults::waitUntilReady(Gateway &gateway) {
+  const base::Instant limit = Journal::now() + ReadyLimit;
+  while (!gateway.IsReady && Journal::now() < limit)
+    co_await sleepFor(LookEvery);
+}
+
+asio::awaitable<void> Faults::killGateway() {
+  Gateway &gateway = anyGateway();
+  All.Programs.signal(*gateway.Process, SIGKILL);
+  gateway.IsReady = false;
+  co_await waitUntilReady(gateway);
+}
+
+asio::awaitable<void> Faults::killAllGateways() {
+  // Rarer than the others, or nothing else would be seen.
+  if (!Random.chance(0.3))
+    co_return;
+  for (const auto &gateway : All.Fleet.All) {
+    All.Programs.signal(*gateway->Process, SIGKILL);
+    gateway->IsReady = false;
+  }
+  for (const auto &gateway : All.Fleet.All)
+    co_await waitUntilReady(*gateway);
+}
+
+asio::awaitable<void> Faults::pauseGateway() {
+  Gateway &gateway = anyGateway();
+  if (gateway.Process->IsPaused)
+    co_return;
+  All.Programs.signal(*gateway.Process, SIGSTOP);
+  co_await sleepFor(between(100, 3'000));
+  All.Programs.signal(*gateway.Process, SIGCONT);
+  co_await waitUntilReady(gateway);
+}
+
+asio::awaitable<void> Faults::stopGateway() {
+  Gateway &gateway = anyGateway();
+  const int life = gateway.Process->Life;
+  All.Programs.signal(*gateway.Process, SIGTERM);
+  while (gateway.Process->Life == life)
+    co_await sleepFor(LookEvery);
+  gateway.IsReady = false;
+  co_await waitUntilReady(gateway);
+}
+
+asio::awaitable<void> Faults::hangUpGateway() {
+  Gateway &gateway = anyGateway();
+  const bool isBad = Random.chance(0.3);
+  {
+    std::ofstream file(gateway.SettingsFile, std::ios::app);
+    file << (isBad
+                 ? "--retry_part=nonsense\n"
+                 : "--retry_extra=" + std::to_string(Random.below(50)) + "\n");
+  }
+  All.Programs.signal(*gateway.Process, SIGHUP);
+  co_await sleepFor(between(100, 500));
+  if (!isBad)
+    co_return;
+  // The bad line goes before the process could start with it.
+  std::ifstream old(gateway.SettingsFile);
+  std::string text;
+  for (std::string line; std::getline(old, line);)
+    if (line != "--retry_part=nonsense")
+      text += line + "\n";
+  std::ofstream(gateway.SettingsFile, std::ios::trunc) << text;
+}
+
+asio::awaitable<void> Faults::strikeSidecar() {
+  if (All.Sidecars.empty())
+    co_return;
+  Program &sidecar = *All.Sidecars[Random.below(All.Sidecars.size())];
+  if (Random.chance(0.5)) {
+    All.Programs.signal(sidecar, SIGKILL);
+    co_await sleepFor(between(500, 1'000));
+    co_return;
+  }
+  All.Programs.signal(sidecar, SIGSTOP);
+  co_await sleepFor(between(100, 3'000));
+  All.Programs.signal(sidecar, SIGCONT);
+}
+
+asio::awaitable<void> Faults::strikeStore(std::string fault) {
+  http::Request begin{"PUT", "/v1/test/faults?" + fault, {}, {}};
+  co_await http::fetch(All.Store, std::move(begin), TestCallLimit);
+  co_await sleepFor(between(500, 5'000));
+  http::Request end{"PUT", "/v1/test/faults?down=0", {}, {}};
+  co_await http::fetch(All.Store, std::move(end), TestCallLimit);
+}
+
+asio::awaitable<void> Faults::strikeLink(Proxy &link) {
+  constexpr LinkFault Possible[] = {LinkFault::Delayed, LinkFault::Silent,
+                                    LinkFault::CutToServer,
+                                    LinkFault::CutToClient, LinkFault::Refused};
+  link.set(Possible[Random.below(std::size(Possible))]);
+  co_await sleepFor(between(200, 3'000));
+  link.set(LinkFault::None);
+}
+
+asio::awaitable<void> Faults::resetLink(Proxy &link) {
+  link.resetAll();
+  co_await sleepFor(between(50, 200));
+}
+
+asio::awaitable<void> Faults::crashWorker() {
+  Worker &worker = anyWorker();
+  if (!worker.isUp())
+    co_return;
+  co_await worker.crash(between(300, 3'000));
+}
+
+asio::awaitable<void> Faults::worsenWorker() {
+  Worker &worker = anyWorker();
+  constexpr Mood Possible[] = {Mood::Errors, Mood::BreaksOff, Mood::Loses,
+                               Mood::Full};
+  worker.HasMood = Possible[Random.below(std::size(Possible))];
+  co_await sleepFor(between(500, 3'000));
+  worker.HasMood = Mood::Well;
+}
+
+asio::awaitable<void> Faults::emptyWorker() {
+  Worker &worker = anyWorker();
+  // One of each service stays.
+  for (const auto &other : All.Workers)
+    if (other->place().Service == worker.place().Service &&
+        other->LeavingSince != base::Instant::max())
+      co_return;
+  if (!worker.isUp() || worker.isLeaving())
+    co_return;
+  co_await worker.leave(between(2'000, 4'000));
+  co_await sleepFor(between(500, 1'000));
+}
+
+asio::awaitable<void> Faults::changeConfig() {
+  if (IsConfigChanging)
+    co_return;
+  IsConfigChanging = true;
+  co_await Plans.change();
+  IsConfigChanging = false;
+}
+
+asio::awaitable<void> Faults::changeConfigOften() {
+  for (int i = 0; i < 5; ++i) {
+    co_await changeConfig();
+    co_await sleepFor(between(20, 300));
+  }
+}
+
+} // namespace drumlanding::soak
--- /dev/null
+++ b/test/soak/operators.cc
@@ -0,0 +1,69 @@
+#include "operators.h"
+
+#include "drumlanding/daemon/sleep.h"
+
+#include <nlohmann/json.hpp>
+
+namespace drumlanding::soak {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr base::milliseconds AskAgain{200};
+constexpr std::string_view ConfigKey = "op/config";
+
+Json route(const char *prefix, const char *kind, const char *service,
+           int attempts) {
+  return {{"name", prefix},
+          {"host", Operators::Host},
+          {"pathPrefix", prefix},
+          {"kind", kind},
+          {"timeoutMs", Operators::Timeout.count()},
+          {"sloMs", 500},
+          {"priority", 0},
+          {"maxAttempts", attempts},
+          {"public", false},
+          {"backend", service}};
+}
+
+} // namespace
+
+std::string Operators::text() const {
+  const Json engine{{"slots", 8},          {"kvCapTokens", 30'000},
+                    {"kvTokenBytes", 100}, {"linkMbps", 1'000.0},
+                    {"moves", true},       {"stride", 1}};
+  const Json config{
+      {"version", Version},
+      {"routes",
+       {route("/once/", "non_idempotent", "shop", 1),
+        route("/often/", "idempotent", "shop", 2),
+        route("/stream/", "streaming", "llm", 1)}},
+      {"services", {{{"name", "shop"}}, {{"name", "llm"}, {"engine", engine}}}},
+      {"limits", {{"idleTimeoutMs", 20'000}}},
+      {"tenants",
+       {{{"name", "school"},
+         {"apiKeys", {baseKey(), keyOf(Serial), keyOf(Serial - 1)}}}}}};
+  return config.dump();
+}
+
+asio::awaitable<void> Operators::change() {
+  ++Serial;
+  Version += 3;
+  ChangedAt = base::Instant::max();
+  for (;;) {
+    const auto item = co_await Store.read(ConfigKey);
+    if (ok(item) && value(item).Value == text())
+      break; // an answer was lost
+    if (ok(item)) {
+      const auto swap =
+          co_await Store.swap(ConfigKey, value(item).Revision, text());
+      if (ok(swap) && value(swap).Swapped)
+        break;
+    }
+    co_await daemon::sleepFor(AskAgain);
+  }
+  ChangedAt = Journal::now();
+  Log.print("config " + std::to_string(Version) + " acknowledged");
+}
+
+} // namespace drumlanding::soak
