--- a/include/drumlanding/gateway/peers.h
+++ b/include/drumlanding/gateway/peers.h
@@ -11,6 +11,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,6 +42,15 @@
   bool WatchesList = false;
 };
 
+/// What this gateway knows of the list of servers.
+struct OwnList {
+  std::uint64_t Digest = 0;
+  /// When it was last heard from the store, by whomever.
+  base::Instant From{};
+  /// This gateway follows the store's list itself.
+  bool IsWatched = false;
+};
+
 class Peers {
 public:
   Peers(base::Instant now, PeersOptions options);
@@ -59,6 +69,16 @@
 
   std::vector<Peer> live(base::Instant now) const;
 
+  /// Returns a gateway whose config is newer than `version`.
+  std::optional<Peer> withNewerConfig(base::Instant now,
+                                      std::uint64_t version) const;
+
+  /// Returns a gateway whose list of servers should be taken: a fresh one that
+  /// differs, when this gateway does not follow the store's list itself, and
+  /// one that is clearly newer in any case.
+  std::optional<Peer> withBetterList(base::Instant now,
+                                     const OwnList &own) const;
+
   /// True when this gateway is among the few that follow the store's list of
   /// servers for all. While the others' lists are old, everyone follows it.
   bool shouldWatchList(base::Instant now) const;
--- a/include/drumlanding/http/connection.h
+++ b/include/drumlanding/http/connection.h
@@ -32,7 +32,7 @@
 /// Compares header names.
 bool equalIgnoringCase(std::string_view a, std::string_view b);
 
-class Connection {
+class Connection : public std::enable_shared_from_this<Connection> {
 public:
   /// Connects; an error means that the server has seen nothing.
   static asio::awaitable<base::Result<std::shared_ptr<Connection>>>
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -25,10 +25,6 @@
 /// How often it is looked whether another gateway knows more.
 constexpr milliseconds CatchUpEvery{200};
 constexpr milliseconds FetchLimit{1'000};
-/// A list from the store that is older than this is compared with the others'.
-constexpr milliseconds ListIsOld{1'500};
-/// Another gateway's list must be newer by this much to be fetched.
-constexpr milliseconds ListIsNewer{1'000};
 /// One message in so many carries the addresses of the live gateways.
 constexpr std::uint64_t MessagesPerPeerList = 4;
 constexpr std::string_view ConfigPath = "/config";
@@ -237,19 +233,11 @@
     W.Servers.tick(now);
     const std::uint64_t version = W.Routes ? W.Routes->config().Version : 0;
     W.WatchesList = W.Others.shouldWatchList(now);
-    for (const Peer &peer : W.Others.live(now)) {
-      if (peer.ConfigVersion > version) {
-        co_await fetchConfig(peer);
-        break;
-      }
-      const bool isOther = peer.WatchesList && !W.WatchesList &&
-                           peer.ListDigest != W.Servers.digest();
-      const bool isFresh = now - peer.ListFrom < ListIsOld;
-      if ((isOther && isFresh) || peer.ListFrom - W.ListFrom > ListIsNewer) {
-        co_await fetchServers(peer);
-        break;
-      }
-    }
+    const OwnList own{W.Servers.digest(), W.ListFrom, W.WatchesList};
+    if (const auto peer = W.Others.withNewerConfig(now, version))
+      co_await fetchConfig(*peer);
+    else if (const auto fresher = W.Others.withBetterList(now, own))
+      co_await fetchServers(*fresher);
   }
 }
 
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -22,6 +22,8 @@
 /// A gateway whose list is older than this does not count: news of the store
 /// come several times a second.
 constexpr base::milliseconds ListIsOld{1'500};
+/// Another gateway's list is clearly newer when it is so by this much.
+constexpr base::milliseconds ListIsNewer{1'000};
 /// How often silent addresses are tried.
 constexpr base::milliseconds TryEvery{1'000};
 /// An address that never answers is dropped, unless it is a seed.
@@ -100,6 +102,26 @@
   return live;
 }
 
+std::optional<Peer> Peers::withNewerConfig(base::Instant now,
+                                           std::uint64_t version) const {
+  for (const Peer &peer : live(now))
+    if (peer.ConfigVersion > version)
+      return peer;
+  return std::nullopt;
+}
+
+std::optional<Peer> Peers::withBetterList(base::Instant now,
+                                          const OwnList &own) const {
+  for (const Peer &peer : live(now)) {
+    const bool isOther = peer.WatchesList && !own.IsWatched &&
+                         peer.ListDigest != own.Digest &&
+                         now - peer.ListFrom < ListIsOld;
+    if (isOther || peer.ListFrom - own.From > ListIsNewer)
+      return peer;
+  }
+  return std::nullopt;
+}
+
 bool Peers::shouldWatchList(base::Instant now) const {
   const std::vector<Peer> others = live(now);
   const std::uint64_t own = base::hash64(base::toString(Options.Own));
--- a/src/http/connection.cc
+++ b/src/http/connection.cc
@@ -42,8 +42,7 @@
   return text + "\r\n" + request.Body;
 }
 
-class TcpConnection final : public Connection,
-                            public std::enable_shared_from_this<TcpConnection> {
+class TcpConnection final : public Connection {
 public:
   TcpConnection(base::Endpoint to, beast::tcp_stream stream)
       : To(std::move(to)), Stream(std::move(stream)) {}
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -6,11 +6,13 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 namespace drumlanding::sidecar {
 namespace {
 
 using base::milliseconds;
+using boost::system::error_code;
 using daemon::sleepFor;
 namespace wire = gateway::wire;
 
@@ -18,6 +20,9 @@
 /// of which a copy of one generation takes a quarter.
 constexpr milliseconds AskEvery{50};
 constexpr milliseconds ConnectLimit{500};
+/// An engine on the same VM answers a report within milliseconds: one that says
+/// nothing for so long hangs, or its connection is dead.
+constexpr milliseconds AnswerLimit{1'000};
 /// Pause before an engine that does not answer is asked again.
 constexpr milliseconds AskAgain{250};
 /// A notice is repeated this often, since datagrams get lost.
@@ -78,6 +83,12 @@
 asio::awaitable<base::Result<http::Response>>
 Sidecar::ask(http::Connection &connection, http::Request request) {
   request.Headers.push_back({"Host", base::toString(Settings.Engine)});
+  asio::steady_timer limit(Io, AnswerLimit);
+  limit.async_wait([weak = connection.weak_from_this()](error_code ec) {
+    const auto late = weak.lock();
+    if (!ec && late)
+      late->close();
+  });
   connection.send(request);
   auto head = co_await connection.readHead();
   if (!ok(head))
--- a/test/soak/processes.cc
+++ b/test/soak/processes.cc
@@ -38,6 +38,9 @@
   posix_spawn_file_actions_addopen(&actions, 1, program.LogFile.c_str(), Append,
                                    0644);
   posix_spawn_file_actions_adddup2(&actions, 1, 2);
+  // A connection that the soak closes must not live on in what it has started.
+  constexpr int FirstOwnFile = 3;
+  posix_spawn_file_actions_addclosefrom_np(&actions, FirstOwnFile);
   std::vector<char *> words;
   for (std::string &word : program.Words)
     words.push_back(word.data());
