Metrics of gateways by route, step and outcome; drumlandingctl explain

Counters and histograms on the metrics address (--metrics_listen, named in deploy/system.toml) and the control address; names in gateway-metrics.cc alone. explain reads logs of several processes, prints a request's lines with those of its servers and processes around them, and one sentence for the cause.

--- a/include/drumlanding/base/metrics.h
+++ b/include/drumlanding/base/metrics.h
@@ -32,7 +32,8 @@
            const MetricLabels &labels = {});
 
   /// Adds a time in seconds to a histogram.
-  void observe(std::string_view name, double seconds);
+  void observe(std::string_view name, double seconds,
+               const MetricLabels &labels = {});
 
   /// Returns the page in Prometheus' text format. Also refreshes the gauges of
   /// invariants, memory and processor time.
--- a/include/drumlanding/gateway/directory.h
+++ b/include/drumlanding/gateway/directory.h
@@ -134,6 +134,7 @@
   void closed(std::string_view id);
 
   const Server *find(std::string_view id) const;
+  std::vector<const Server *> all() const;
   /// Returns the servers of a service that may get new work. When all of them
   /// are avoided for failing, returns them all the same.
   std::vector<const Server *> usable(base::Instant now,
--- a/src/base/metrics.cc
+++ b/src/base/metrics.cc
@@ -43,6 +43,26 @@
     {"drumlanding_platform_calls_total", "Calls of the platform's service."},
     {"drumlanding_stall_seconds_total",
      "Time of gaps between tokens that were longer than a second."},
+    {"drumlanding_gateway_calls_total",
+     "Calls ended, by route and status; status 0: the caller left."},
+    {"drumlanding_gateway_call_seconds", "Time of calls, by route."},
+    {"drumlanding_gateway_streams_total",
+     "Streams ended, by route and how they ended."},
+    {"drumlanding_gateway_first_event_seconds",
+     "Time to a stream's first event, by route."},
+    {"drumlanding_gateway_longest_pause_seconds",
+     "Longest pause between a stream's events, by route."},
+    {"drumlanding_gateway_stream_seconds", "Time of whole streams, by route."},
+    {"drumlanding_gateway_moves_total",
+     "Steps of moves of generations, by step and whether they were done."},
+    {"drumlanding_gateway_retries_total",
+     "Second sends asked of the retry budget, by service and whether granted."},
+    {"drumlanding_gateway_open_requests", "Requests being answered now."},
+    {"drumlanding_gateway_peers", "Other gateways heard of lately."},
+    {"drumlanding_gateway_list_age_seconds",
+     "Age of the list of backend servers."},
+    {"drumlanding_gateway_log_lines_dropped",
+     "Lines of the log that nobody read in time."},
     {"process_resident_memory_bytes", "Resident memory."},
     {"process_cpu_seconds_total", "Processor time, user and system."},
 };
@@ -83,7 +103,9 @@
       Counters;
   std::map<std::string, prometheus::Family<prometheus::Gauge> *, std::less<>>
       Gauges;
-  std::map<std::string, prometheus::Histogram *, std::less<>> Histograms;
+  std::map<std::string, prometheus::Family<prometheus::Histogram> *,
+           std::less<>>
+      Histograms;
 };
 
 Metrics::Metrics() : S(std::make_unique<State>()) {}
@@ -117,7 +139,8 @@
   it->second->Add(labels).Set(value);
 }
 
-void Metrics::observe(std::string_view name, double seconds) {
+void Metrics::observe(std::string_view name, double seconds,
+                      const MetricLabels &labels) {
   const std::lock_guard guard(S->Lock);
   auto it = S->Histograms.find(name);
   if (it == S->Histograms.end()) {
@@ -125,9 +148,9 @@
                        .Name(std::string(name))
                        .Help(helpOf(name))
                        .Register(S->Registry);
-    it = S->Histograms.emplace(name, &family.Add({}, Buckets)).first;
+    it = S->Histograms.emplace(name, &family).first;
   }
-  it->second->Observe(seconds);
+  it->second->Add(labels, Buckets).Observe(seconds);
 }
 
 std::string Metrics::text() {
--- a/src/ctl/commands.cc
+++ b/src/ctl/commands.cc
@@ -1,5 +1,7 @@
 #include "commands.h"
 
+#include "explain.h"
+
 #include "drumlanding/base/hash.h"
 #include "drumlanding/base/settings.h"
 #include "drumlanding/bundle/difference.h"
@@ -157,4 +159,27 @@
   return ExitDone;
 }
 
+int explainRequest(Words words) {
+  if (words.size() < 2)
+    return fail(base::invalid("explain", "needs a request's id and log files"),
+                ExitWrongCall);
+  std::vector<LogLine> lines;
+  for (const std::string &file : words.subspan(1)) {
+    const auto text = readFile(file);
+    if (!ok(text))
+      return fail(error(text));
+    std::istringstream stream(value(text));
+    for (std::string line; std::getline(stream, line);)
+      if (auto read = parseLogLine(line))
+        lines.push_back(std::move(*read));
+  }
+  const auto story = explain(lines, words[0]);
+  if (!ok(story))
+    return fail(error(story));
+  for (const LogLine &line : value(story).Lines)
+    std::printf("%s\n", toText(line).c_str());
+  std::printf("%s\n", value(story).Cause.c_str());
+  return ExitDone;
+}
+
 } // namespace drumlanding::ctl
--- a/src/ctl/commands.h
+++ b/src/ctl/commands.h
@@ -31,6 +31,9 @@
 int signBundle(Words words, std::string_view role, const std::string &keyFile,
                const std::string &outFile);
 
+/// explain REQUEST FILE...: tells the request's story from logs.
+int explainRequest(Words words);
+
 base::Result<std::string> readFile(const std::string &path);
 base::Result<base::Done> writeFile(const std::string &path,
                                    std::string_view text, bool isSecret);
--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -34,7 +34,8 @@
     "  bundle sign FILE          sign: --role author|approver --key FILE\n"
     "  bundle roll-out FILE      put a signed bundle in force: --platform\n"
     "  bundle status             who has which version: --platform "
-    "--control_key";
+    "--control_key\n"
+    "  explain REQUEST FILE...   tell a request's story from logs of gateways";
 
 int runBundle(ctl::Words words) {
   const std::string verb = words.empty() ? "" : words[0];
@@ -73,6 +74,8 @@
     return ctl::controlKey();
   if (verb == "credential")
     return ctl::credential();
+  if (verb == "explain")
+    return ctl::explainRequest(words.subspan(1));
   if (verb == "bundle")
     return runBundle(words.subspan(1));
   return ctl::fail(base::invalid(verb.empty() ? "drumlandingctl" : verb,
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -281,6 +281,13 @@
   return it == Servers.end() ? nullptr : &it->second;
 }
 
+std::vector<const Server *> Directory::all() const {
+  std::vector<const Server *> all;
+  for (const auto &[id, server] : Servers)
+    all.push_back(&server);
+  return all;
+}
+
 std::vector<const Server *> Directory::usable(base::Instant now,
                                               std::string_view service) const {
   std::vector<const Server *> well;
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -1,5 +1,6 @@
 #include "forwarder.h"
 
+#include "gateway-metrics.h"
 #include "stream-forwarder.h"
 
 namespace drumlanding::gateway {
@@ -169,6 +170,8 @@
                {"why", why},
                {"sends", f.Sends},
                {"ms", base::toMs(W.now() - f.ReceivedAt)}});
+  countCall(W.Metrics, {f.TheRoute ? std::string_view(f.TheRoute->Name) : "",
+                        status, W.now() - f.ReceivedAt});
 }
 
 } // namespace drumlanding::gateway
--- a/src/gateway/forwarding.cc
+++ b/src/gateway/forwarding.cc
@@ -1,5 +1,7 @@
 #include "forwarding.h"
 
+#include "gateway-metrics.h"
+
 #include <algorithm>
 #include <spdlog/fmt/fmt.h>
 
@@ -139,8 +141,10 @@
   state.HasServer = hasServer;
   return nextStep(state, [&] {
     const base::Instant now = f.W.now();
-    return f.W.Budget.tryRetry(now, f.TheService->Name,
-                               f.W.Others.gateways(now));
+    const bool isGranted =
+        f.W.Budget.tryRetry(now, f.TheService->Name, f.W.Others.gateways(now));
+    countRetry(f.W.Metrics, f.TheService->Name, isGranted);
+    return isGranted;
   });
 }
 
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -1,8 +1,8 @@
 #include "gossip.h"
 
+#include "gateway-metrics.h"
 #include "gossip-messages.h"
 
-#include "drumlanding/daemon/process.h"
 #include "drumlanding/daemon/sleep.h"
 
 #include <array>
@@ -274,8 +274,7 @@
 
 asio::awaitable<void> Gossip::serve(http::Request request, http::Exchange &x) {
   http::Response response{404, "text/plain", "no such page\n", {}};
-  const auto isReady = [this] { return W.isReady(); };
-  if (auto page = daemon::operatorsPage(request, W.Metrics, isReady)) {
+  if (auto page = metricsPage(W, request)) {
     response = std::move(*page);
   } else if (request.path() == ConfigPath && W.Routes) {
     response = {Fine, "application/octet-stream", W.ConfigText, {}};
--- a/src/gateway/main.cc
+++ b/src/gateway/main.cc
@@ -19,6 +19,9 @@
               "[network] IP:port at which the balancer asks for readiness");
 DEFINE_string(gateway_listen, "",
               "[network] IP:port for the other gateways (UDP and HTTP)");
+DEFINE_string(metrics_listen, "",
+              "[network] IP:port that tells the metrics, beside the control "
+              "address; empty for none");
 DEFINE_string(platform, "", "[network] IP:port of the platform's store");
 DEFINE_string(seeds, "",
               "[network] addresses of some gateways, separated by commas");
@@ -43,9 +46,10 @@
 using namespace drumlanding;
 
 constexpr std::string_view Flags[] = {
-    "node_file",   "listen",   "ready_listen",   "gateway_listen",
-    "platform",    "seeds",    "sidecar_port",   "retry_part",
-    "retry_extra", "drain_ms", "retry_window_s", "grace_s"};
+    "node_file",  "listen",      "ready_listen",   "gateway_listen",
+    "platform",   "seeds",       "metrics_listen", "sidecar_port",
+    "retry_part", "retry_extra", "drain_ms",       "retry_window_s",
+    "grace_s"};
 
 base::milliseconds toMilliseconds(double seconds) {
   return base::milliseconds(static_cast<std::int64_t>(seconds * 1000));
@@ -68,6 +72,13 @@
       return error(read);
     address.Into = value(read);
   }
+  if (!FLAGS_metrics_listen.empty()) {
+    const auto metrics =
+        base::parseEndpoint("--metrics_listen", FLAGS_metrics_listen);
+    if (!ok(metrics))
+      return error(metrics);
+    settings.MetricsListen = value(metrics);
+  }
   auto seeds = base::parseEndpoints("--seeds", FLAGS_seeds);
   if (!ok(seeds))
     return error(seeds);
--- a/src/gateway/mover.cc
+++ b/src/gateway/mover.cc
@@ -1,5 +1,7 @@
 #include "mover.h"
 
+#include "gateway-metrics.h"
+
 #include "drumlanding/daemon/sleep.h"
 #include "drumlanding/gateway/move-plan.h"
 
@@ -149,6 +151,8 @@
   http::Fetched fetched = co_await http::fetch(source.Listed.Address,
                                                std::move(request), CopyLimit);
   const MoveAnswer answer = W.Words.ReadMove(fetched.Answer);
+  countMove(W.Metrics, isLast ? "copied last" : "copied",
+            answer.What == Outcome::Copied);
   W.Log.write("move-copied", {{"request", run->F.Request.AttemptId},
                               {"from", source.Listed.Id},
                               {"to", destination.Listed.Id},
@@ -249,6 +253,7 @@
     const Server to = *choice.Chosen;
     tried.push_back(to.Listed.Id);
     announceCopy(run, to.Listed.Id);
+    countMove(W.Metrics, "begun", true);
     W.Log.write("move-begun",
                 {{"request", run->F.Request.AttemptId},
                  {"from", sourceId},
--- a/src/gateway/shell.cc
+++ b/src/gateway/shell.cc
@@ -1,5 +1,6 @@
 #include "shell.h"
 
+#include "gateway-metrics.h"
 #include "store-watch.h"
 
 #include "drumlanding/daemon/sleep.h"
@@ -76,6 +77,23 @@
   if (!ok(ready))
     return error(ready);
   Ready = std::move(value(ready));
+  return listenForMetrics();
+}
+
+base::Result<base::Done> Shell::listenForMetrics() {
+  if (!W.Settings.MetricsListen)
+    return base::Done{};
+  const auto answer = [this](http::Request r,
+                             http::Exchange &x) -> asio::awaitable<void> {
+    auto page = metricsPage(W, r);
+    http::Response none{404, "text/plain", "no such page\n", {}};
+    co_await x.send(std::move(page ? *page : none));
+  };
+  auto pages =
+      http::Server::listen(W.Io, *W.Settings.MetricsListen, {}, answer);
+  if (!ok(pages))
+    return error(pages);
+  MetricsPages = std::move(value(pages));
   return base::Done{};
 }
 
--- a/src/gateway/shell.h
+++ b/src/gateway/shell.h
@@ -28,6 +28,7 @@
   Shell(asio::io_context &io, const base::Clock &clock,
         GatewaySettings settings, Dialect dialect, Source source);
   base::Result<base::Done> listen();
+  base::Result<base::Done> listenForMetrics();
   asio::awaitable<void> answerReady(http::Request request, http::Exchange &x);
   asio::awaitable<void> windDown();
 
@@ -37,6 +38,7 @@
   std::unique_ptr<Gossip> Talk;
   std::unique_ptr<http::Server> Callers;
   std::unique_ptr<http::Server> Ready;
+  std::unique_ptr<http::Server> MetricsPages;
 };
 
 } // namespace drumlanding::gateway
--- a/src/gateway/store-watch.cc
+++ b/src/gateway/store-watch.cc
@@ -1,5 +1,7 @@
 #include "store-watch.h"
 
+#include "gateway-metrics.h"
+
 #include "drumlanding/daemon/sleep.h"
 
 #include <algorithm>
@@ -33,6 +35,7 @@
   StoreHealth(World &world, std::string_view what) : W(world), What(what) {}
 
   void answered() {
+    countStoreCall(W.Metrics, What, true);
     W.Servers.storeAnswered(W.now());
     if (IsAway)
       W.Log.write("store-regained", {{"what", What}});
@@ -42,6 +45,7 @@
 
   /// Returns how long to wait before the next call.
   milliseconds failed(const base::Error &e) {
+    countStoreCall(W.Metrics, What, false);
     W.Servers.storeFailed(W.now());
     if (!IsAway)
       W.Log.write("store-lost", {{"what", What}, {"why", describe(e)}});
--- a/src/gateway/stream-forwarder.cc
+++ b/src/gateway/stream-forwarder.cc
@@ -1,5 +1,7 @@
 #include "stream-forwarder.h"
 
+#include "gateway-metrics.h"
+
 #include "drumlanding/base/hash.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -51,6 +53,8 @@
   ServerAnswer Head;
   bool IsHeadSent = false;
   base::Instant LastEvent{};
+  /// From the request to its first event; 0 before that.
+  base::Duration FirstEvent{0};
   base::Duration LongestPause{0};
 };
 
@@ -173,7 +177,9 @@
   if (events.empty())
     co_return true;
   const base::Instant now = W.now();
-  if (LastEvent != base::Instant{})
+  if (LastEvent == base::Instant{})
+    FirstEvent = now - F.ReceivedAt;
+  else
     LongestPause = std::max(LongestPause, now - LastEvent);
   LastEvent = now;
   W.Runs.progress(Run->Id, Run->madeTokens());
@@ -256,6 +262,7 @@
   sendTo(F, server, from);
   const auto head = co_await readOwnHead(F);
   const bool isTaken = head && head->Status == Fine;
+  countMove(W.Metrics, "continued", isTaken);
   W.Log.write("move-continued",
               {{"request", F.Request.AttemptId},
                {"server", server.Listed.Id},
@@ -279,6 +286,8 @@
                                {"events", Run->Events.events()},
                                {"longest_pause_ms", base::toMs(LongestPause)},
                                {"ms", base::toMs(W.now() - F.ReceivedAt)}});
+  countStream(W.Metrics, {F.TheRoute->Name, how, FirstEvent, LongestPause,
+                          W.now() - F.ReceivedAt});
 }
 
 } // namespace
--- a/src/gateway/world.h
+++ b/src/gateway/world.h
@@ -29,6 +29,8 @@
   base::Endpoint ReadyListen;
   base::Endpoint ControlListen;
   base::Endpoint Store;
+  /// Where the metrics are told, beside the control address; none when unset.
+  std::optional<base::Endpoint> MetricsListen;
   std::vector<base::Endpoint> Seeds;
   /// The port of the processes beside engines; 0 when there are none.
   std::uint16_t SidecarPort = 0;
--- a/support/soak.sh
+++ b/support/soak.sh
@@ -3,6 +3,7 @@
 #
 #   soak.sh --seed 7 --minutes 2               # one run
 #   soak.sh --seed 100 --runs 50 --jobs 4      # seeds 100 to 149, four at a time
+#   soak.sh --regressions                      # the seeds that failed once
 #   soak.sh --seed 7 -- --gateways 20          # further flags of build/soak
 #
 # The last line of each run says what it saw; a run that broke a promise keeps
@@ -13,6 +14,7 @@
 seed=$RANDOM
 minutes=1
 runs=1
+regressions=0
 jobs=1
 while [ $# -gt 0 ]; do
   case $1 in
@@ -20,21 +22,21 @@
     --minutes) minutes=$2; shift 2 ;;
     --runs) runs=$2; shift 2 ;;
     --jobs) jobs=$2; shift 2 ;;
+    --regressions) regressions=1; shift ;;
     --) shift; break ;;
     *) echo "soak.sh: unknown word $1"; exit 2 ;;
   esac
 done
-export BUILD
-seconds=$(echo "$minutes * 60" | bc)
-export seconds
+FLAGS="$*"
+export BUILD FLAGS
 
-one() { # SEED FLAGS...
-  local seed=$1 work code
-  shift
+one() { # SEED MINUTES
+  local seed=$1 seconds work code
+  seconds=$(echo "$2 * 60" | bc)
   work=$(mktemp -d)
   # Each run has ports of its own.
   "$BUILD/soak" --programs "$BUILD" --work "$work" --seed "$seed" \
-    --seconds "$seconds" --base_port $((20000 + 10 * (seed % 1000))) "$@" \
+    --seconds "$seconds" --base_port $((20000 + 10 * (seed % 1000))) $FLAGS \
     >"$work/soak.log" 2>&1
   code=$?
   grep -E " BROKEN |^soak: " "$work/soak.log"
@@ -47,4 +49,8 @@
 }
 export -f one
 
-seq "$seed" $((seed + runs - 1)) | xargs -P "$jobs" -I{} bash -c 'one "$@"' _ {} "$@"
+if [ $regressions = 1 ]; then
+  grep -v '^#' "$ROOT/test/soak/seeds.txt" | cut -d' ' -f1,2
+else
+  seq "$seed" $((seed + runs - 1)) | sed "s/$/ $minutes/"
+fi | xargs -P "$jobs" -L1 bash -c 'one "$@"' _
--- /dev/null
+++ b/test/explain-test.cc
@@ -0,0 +1,95 @@
+// Tests of `drumlandingctl explain`: lines as gateways write them, and the
+// cause that they tell.
+#include "explain.h"
+
+#include <gtest/gtest.h>
+
+namespace drumlanding::ctl {
+namespace {
+
+std::vector<LogLine> parseAll(const std::vector<std::string> &lines) {
+  std::vector<LogLine> parsed;
+  for (const std::string &line : lines)
+    if (auto read = parseLogLine(line))
+      parsed.push_back(std::move(*read));
+  return parsed;
+}
+
+std::string causeOf(const std::vector<LogLine> &lines, const char *request) {
+  const auto story = explain(lines, request);
+  return ok(story) ? value(story).Cause : describe(error(story));
+}
+
+TEST(Explain, ReadsLinesBehindAPrefixAndPassesOverOthers) {
+  EXPECT_FALSE(parseLogLine("a stack trace").has_value());
+  EXPECT_FALSE(parseLogLine("{not json").has_value());
+  EXPECT_FALSE(parseLogLine(R"({"a":1})").has_value());
+  const auto line = parseLogLine(
+      R"(  1.5 g1 {"time_ms":1500,"process":"g1","event":"placed","server":"s"})");
+  ASSERT_TRUE(line.has_value());
+  EXPECT_EQ(line->TimeMs, 1'500);
+  EXPECT_EQ(line->text("server"), "s");
+}
+
+TEST(Explain, AStreamWhoseMoveCameTooLate) {
+  const auto lines = parseAll(
+      {R"({"time_ms":1000,"process":"g1","event":"placed","request":"r","server":"s1"})",
+       R"({"time_ms":1100,"process":"g1","event":"server-leaving","server":"s1"})",
+       R"({"time_ms":1150,"process":"g1","event":"server-leaving","server":"other"})",
+       R"({"time_ms":2500,"process":"g1","event":"move-begun","request":"r","from":"s1","to":"s2","ms_left":60})",
+       R"({"time_ms":2600,"process":"g1","event":"stream-ended","request":"r","server":"s1","how":"broken off"})"});
+  EXPECT_EQ(
+      causeOf(lines, "r"),
+      "s1 left; the move began with 60 ms left and was not done in time.");
+  const auto story = explain(lines, "r");
+  EXPECT_EQ(value(story).Lines.size(), 4U);
+}
+
+TEST(Explain, AServerThatBrokeOffWithoutNotice) {
+  const auto lines = parseAll(
+      {R"({"time_ms":1000,"process":"g1","event":"placed","request":"r","server":"s1"})",
+       R"({"time_ms":1003,"process":"g1","event":"stream-ended","request":"r","server":"","how":"no head"})"});
+  EXPECT_EQ(causeOf(lines, "r"),
+            "s1 broke the connection without notice (no head).");
+}
+
+TEST(Explain, AGatewayThatDiedOrWasStopped) {
+  const std::string placed =
+      R"({"time_ms":1000,"process":"g1","event":"placed","request":"r","server":"s1"})";
+  EXPECT_EQ(causeOf(parseAll({placed}), "r"),
+            "The logs end before the request does.");
+  EXPECT_EQ(
+      causeOf(
+          parseAll({placed,
+                    R"({"time_ms":900,"process":"g1","event":"started"})",
+                    R"({"time_ms":2000,"process":"g1","event":"started"})"}),
+          "r"),
+      "g1 died while it served the request.");
+  EXPECT_EQ(
+      causeOf(
+          parseAll(
+              {placed, R"({"time_ms":1500,"process":"g1","event":"stopping"})",
+               R"({"time_ms":9000,"process":"g1","event":"stopped","open":2})"}),
+          "r"),
+      "g1 was stopped, and its time was up with 2 open.");
+}
+
+TEST(Explain, CallsByTheirStatus) {
+  const auto ended = [](const char *rest) {
+    return parseAll({std::string(R"({"time_ms":1,"process":"g","event":)"
+                                 R"("request-ended","request":"r",)") +
+                     rest + "}"});
+  };
+  EXPECT_EQ(causeOf(ended(R"("status":502,"why":"no whole answer")"), "r"),
+            "It was sent, and no whole answer came: it may have run.");
+  EXPECT_EQ(causeOf(ended(R"("status":503,"why":"no server")"), "r"),
+            "No server took it, and it did not run.");
+  EXPECT_EQ(causeOf(ended(R"("status":504,"why":"x","sends":1)"), "r"),
+            "Its route's time was up while a server worked on it.");
+  EXPECT_EQ(causeOf(ended(R"("status":500,"why":"answered")"), "r"),
+            "A server answered with status 500.");
+  EXPECT_EQ(causeOf({}, "r"), "r: no line of these logs names this request");
+}
+
+} // namespace
+} // namespace drumlanding::ctl
--- a/test/soak/faults.cc
+++ b/test/soak/faults.cc
@@ -5,7 +5,10 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <csignal>
+#include <filesystem>
+#include <fmt/format.h>
 #include <fstream>
+#include <iterator>
 
 namespace drumlanding::soak {
 namespace {
@@ -21,8 +24,21 @@
 /// A gateway that was struck is ready again within this time.
 constexpr milliseconds ReadyLimit{6'000};
 constexpr milliseconds StartTime{1'000};
+constexpr milliseconds SettingsTime{300};
 constexpr milliseconds TestCallLimit{1'000};
 
+std::string readFile(const std::string &name) {
+  std::ifstream file(name);
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
+/// Replaces a file in one step, so that nobody reads half of it.
+void replaceFile(const std::string &name, const std::string &text) {
+  const std::string fresh = name + ".new";
+  std::ofstream(fresh) << text;
+  std::filesystem::rename(fresh, name);
+}
+
 } // namespace
 
 Faults::Faults(asio::io_context &io, Journal &journal, Deployment &deployment,
@@ -166,24 +182,23 @@
 
 asio::awaitable<void> Faults::hangUpGateway() {
   Gateway &gateway = anyGateway();
+  if (gateway.Process->HasBadSettings)
+    co_return;
+  const std::string good = readFile(gateway.SettingsFile);
   const bool isBad = Random.chance(0.3);
-  {
-    std::ofstream file(gateway.SettingsFile, std::ios::app);
-    file << (isBad
-                 ? "--retry_part=nonsense\n"
-                 : "--retry_extra=" + std::to_string(Random.below(50)) + "\n");
-  }
+  gateway.Process->HasBadSettings = isBad;
+  replaceFile(gateway.SettingsFile,
+              isBad
+                  ? good + "--retry_part=nonsense\n"
+                  : good + fmt::format("--retry_extra={}\n", Random.below(50)));
   All.Programs.signal(*gateway.Process, SIGHUP);
   co_await sleepFor(between(100, 500));
   if (!isBad)
     co_return;
-  // The bad line goes before the process could start with it.
-  std::ifstream old(gateway.SettingsFile);
-  std::string text;
-  for (std::string line; std::getline(old, line);)
-    if (line != "--retry_part=nonsense")
-      text += line + "\n";
-  std::ofstream(gateway.SettingsFile, std::ios::trunc) << text;
+  replaceFile(gateway.SettingsFile, good);
+  // One that started with them has ended by then.
+  co_await sleepFor(SettingsTime);
+  gateway.Process->HasBadSettings = false;
 }
 
 asio::awaitable<void> Faults::strikeSidecar() {
--- a/test/soak/processes.cc
+++ b/test/soak/processes.cc
@@ -16,6 +16,9 @@
 /// An ended program stays down for this long.
 constexpr base::milliseconds RestartAfter{300};
 
+/// How our programs end when their settings are wrong.
+constexpr int BadSettings = 2;
+
 base::Instant now() { return base::SystemClock().now().Steady; }
 
 } // namespace
@@ -60,7 +63,9 @@
   if (program.Pid == 0 || waitpid(program.Pid, &status, WNOHANG) == 0)
     return false;
   program.Pid = 0;
-  if (!program.IsEndExpected && OnSurprise)
+  const bool isRefusal = program.HasBadSettings && WIFEXITED(status) &&
+                         WEXITSTATUS(status) == BadSettings;
+  if (!program.IsEndExpected && !isRefusal && OnSurprise)
     OnSurprise(program, status);
   return true;
 }
--- a/test/soak/processes.h
+++ b/test/soak/processes.h
@@ -27,6 +27,8 @@
   /// It has been told to end, or killed: its end is no surprise.
   bool IsEndExpected = false;
   bool IsPaused = false;
+  /// Its settings are broken for now: it may refuse to start.
+  bool HasBadSettings = false;
 };
 
 class Processes {
