--- a/test/soak/operators.cc
+++ b/test/soak/operators.cc
@@ -35,9 +35,9 @@
   const Json config{
       {"version", Version},
       {"routes",
-       {route("/once/", "non_idempotent", "shop", 1),
+       {route("/once/", "non_idempotent", "shop", 2),
         route("/often/", "idempotent", "shop", 2),
-        route("/stream/", "streaming", "llm", 1)}},
+        route("/stream/", "streaming", "llm", 2)}},
       {"services", {{{"name", "shop"}}, {{"name", "llm"}, {"engine", engine}}}},
       {"limits", {{"idleTimeoutMs", 20'000}}},
       {"tenants",
