--- a/include/drumlanding/gateway/directory.h
+++ b/include/drumlanding/gateway/directory.h
@@ -169,6 +169,9 @@
   bool IsStoreAway = false;
   base::Instant StoreFailedAt{};
   base::Instant StoreBackAt{};
+  mutable std::uint64_t Digest = 0;
+  /// False when the list has changed since the digest was worked out.
+  mutable bool IsDigestKnown = false;
 };
 
 } // namespace drumlanding::gateway
--- a/include/drumlanding/gateway/ledger.h
+++ b/include/drumlanding/gateway/ledger.h
@@ -4,7 +4,7 @@
 ///   Ledger ledger;
 ///   ledger.begin(now, server, run);
 ///   ledger.progress(now, runId, 40, true);
-///   EngineLoad load = ledger.loadOf(now, server);
+///   auto loads = ledger.loads();
 ///   ledger.end(runId);
 #pragma once
 
@@ -75,7 +75,9 @@
   /// Forgets gateways that have not told anything for a while.
   void tick(base::Instant now);
 
-  EngineLoad loadOf(std::string_view server) const;
+  /// The loads of all engines that have any, by server, in one pass over the
+  /// runs. Valid until the next change.
+  std::unordered_map<std::string_view, EngineLoad> loads() const;
   /// All generations that run on a server, the other gateways' too.
   std::vector<LedgerRun> runsOn(std::string_view server) const;
   /// This gateway's runs, to be told to the others.
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -66,12 +66,15 @@
 void Directory::miss(base::Instant now, Server &server) {
   if (server.IsMissing)
     return;
+  IsDigestKnown = false;
   server.IsMissing = true;
   server.MissingSince = now;
   changed("server-missing", server);
 }
 
 void Directory::put(base::Instant now, const ListedServer &listed) {
+  if (!isListedAs(listed))
+    IsDigestKnown = false;
   const auto it = Servers.find(listed.Id);
   if (it == Servers.end()) {
     const auto added = Servers.emplace(listed.Id, Server{listed}).first;
@@ -337,14 +340,17 @@
 }
 
 std::uint64_t Directory::digest() const {
-  std::uint64_t digest = 0;
+  if (IsDigestKnown)
+    return Digest;
+  Digest = 0;
   for (const auto &[id, server] : Servers) {
     if (server.IsMissing || !server.IsListed)
       continue;
     const bool isReady = server.Listed.State == ServerState::Ready;
-    digest = base::mix64(digest, base::hash64(id, isReady ? 1 : 2));
+    Digest = base::mix64(Digest, base::hash64(id, isReady ? 1 : 2));
   }
-  return digest;
+  IsDigestKnown = true;
+  return Digest;
 }
 
 } // namespace drumlanding::gateway
--- a/src/gateway/ledger.cc
+++ b/src/gateway/ledger.cc
@@ -96,15 +96,14 @@
       visit(run);
 }
 
-EngineLoad Ledger::loadOf(std::string_view server) const {
-  EngineLoad load;
+std::unordered_map<std::string_view, EngineLoad> Ledger::loads() const {
+  std::unordered_map<std::string_view, EngineLoad> loads;
   visit([&](const LedgerRun &run) {
-    if (run.Server == server)
-      addRun(load, run);
-    else if (run.CopyServer == server)
-      addCopy(load, run);
+    addRun(loads[run.Server], run);
+    if (!run.CopyServer.empty() && run.CopyServer != run.Server)
+      addCopy(loads[run.CopyServer], run);
   });
-  return load;
+  return loads;
 }
 
 std::vector<LedgerRun> Ledger::runsOn(std::string_view server) const {
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -85,12 +85,14 @@
                          WayCost wayCost) const {
   // A route may send a part of its streams to a plain service.
   const EngineTraits engine = service.Engine.value_or(EngineTraits());
+  const auto loads = Runs.loads();
   Choice best;
   for (const Server *server : Servers.usable(now, service.Name)) {
     if (wasTried(tried, server->Listed.Id))
       continue;
     ++best.Candidates;
-    const EngineLoad load = Runs.loadOf(server->Listed.Id);
+    const auto it = loads.find(server->Listed.Id);
+    const EngineLoad load = it == loads.end() ? EngineLoad() : it->second;
     const double cost =
         engineCost(now, *server, engine, load, demand) + wayCost(*server, load);
     if (best.Chosen && cost >= best.CostMs)
--- a/test/gateway-random-test.cc
+++ b/test/gateway-random-test.cc
@@ -487,7 +487,7 @@
       for (const LedgerRun &run : other->Runs.ownRuns())
         ++running[run.Server];
     for (const auto &[server, n] : running)
-      if (core.Runs.loadOf(server).Running != n)
+      if (core.Runs.loads()[server].Running != n)
         Wrong += core.Address + " counts other runs on " + server + "; ";
   }
 
--- a/test/gateway-test.cc
+++ b/test/gateway-test.cc
@@ -524,13 +524,13 @@
   Ledger ledger;
   ledger.begin(run(1, "s", 1'000));
   ledger.takePeer(Start, "peer", {run(2, "s", 500), run(3, "t", 700)});
-  EXPECT_EQ(ledger.loadOf("s").Running, 2);
-  EXPECT_EQ(ledger.loadOf("s").UsedTokens, 1'500U);
+  EXPECT_EQ(ledger.loads()["s"].Running, 2);
+  EXPECT_EQ(ledger.loads()["s"].UsedTokens, 1'500U);
   EXPECT_EQ(ledger.runsOn("t").size(), 1U);
   ledger.tick(Start + seconds(5));
-  EXPECT_EQ(ledger.loadOf("s").Running, 1);
+  EXPECT_EQ(ledger.loads()["s"].Running, 1);
   ledger.end(1);
-  EXPECT_EQ(ledger.loadOf("s").Running, 0);
+  EXPECT_EQ(ledger.loads()["s"].Running, 0);
 }
 
 struct PlacementTest : testing::Test {
