--- a/test/soak/callers.cc
+++ b/test/soak/callers.cc
@@ -20,7 +20,7 @@
 /// A config is in force everywhere within this time.
 constexpr milliseconds ConfigBound{2'000};
 constexpr int ShortStream = 60;
-constexpr int LongStream = 300;
+constexpr int LongStream = 600;
 constexpr int Fine = 200;
 constexpr int Unauthorised = 401;
 
--- a/test/soak/faults.cc
+++ b/test/soak/faults.cc
@@ -44,40 +44,61 @@
 Faults::Faults(asio::io_context &io, Journal &journal, Deployment &deployment,
                Operators &operators, std::uint64_t seed)
     : Io(io), Log(journal), All(deployment), Plans(operators), Random(seed) {
-  const bool planned = true;
+  constexpr bool Planned = true;
+  constexpr bool Trouble = false;
+  // What servers do to requests is drawn most: there the promises are at stake.
+  constexpr int Often = 3;
   Kinds = {
-      {"kill a gateway", false, [](Faults &f) { return f.killGateway(); }},
-      {"pause a gateway", false, [](Faults &f) { return f.pauseGateway(); }},
-      {"kill all gateways", false,
+      {"kill a gateway", Trouble, 1, [](Faults &f) { return f.killGateway(); }},
+      {"pause a gateway", Trouble, 1,
+       [](Faults &f) { return f.pauseGateway(); }},
+      {"kill all gateways", Trouble, 1,
        [](Faults &f) { return f.killAllGateways(); }},
-      {"strike a sidecar", false, [](Faults &f) { return f.strikeSidecar(); }},
-      {"store down", false, [](Faults &f) { return f.strikeStore("down=1"); }},
-      {"store slow", false,
+      {"strike a sidecar", Trouble, 1,
+       [](Faults &f) { return f.strikeSidecar(); }},
+      {"store down", Trouble, 1,
+       [](Faults &f) { return f.strikeStore("down=1"); }},
+      {"store slow", Trouble, 1,
        [](Faults &f) { return f.strikeStore("delay_ms=300"); }},
-      {"store loses answers", false,
+      {"store loses answers", Trouble, 1,
        [](Faults &f) { return f.strikeStore("lose=5"); }},
-      {"link to the store", false,
+      {"link to the store", Trouble, 1,
        [](Faults &f) { return f.strikeLink(*f.anyGateway().StoreLink); }},
-      {"link to a server", false,
-       [](Faults &f) { return f.strikeLink(f.anyWorker().link()); }},
-      {"link to callers", false,
+      {"link to callers", Trouble, 1,
        [](Faults &f) { return f.strikeLink(*f.anyGateway().CallerLink); }},
-      {"reset a server's connections", false,
-       [](Faults &f) { return f.resetLink(f.anyWorker().link()); }},
-      {"reset callers' connections", false,
+      {"reset callers' connections", Trouble, 1,
        [](Faults &f) { return f.resetLink(*f.anyGateway().CallerLink); }},
-      {"crash a server", false, [](Faults &f) { return f.crashWorker(); }},
-      {"worsen a server", false, [](Faults &f) { return f.worsenWorker(); }},
-      {"stop a gateway", planned, [](Faults &f) { return f.stopGateway(); }},
-      {"hang up on a gateway", planned,
+      {"link to a server", Trouble, Often,
+       [](Faults &f) { return f.strikeLink(f.anyWorker().link()); }},
+      {"reset a server's connections", Trouble, Often,
+       [](Faults &f) { return f.resetLink(f.anyWorker().link()); }},
+      {"crash a server", Trouble, Often,
+       [](Faults &f) { return f.crashWorker(); }},
+      {"worsen a server", Trouble, Often,
+       [](Faults &f) { return f.worsenWorker(); }},
+      {"stop a gateway", Planned, 1, [](Faults &f) { return f.stopGateway(); }},
+      {"hang up on a gateway", Planned, 1,
        [](Faults &f) { return f.hangUpGateway(); }},
-      {"empty a server", planned, [](Faults &f) { return f.emptyWorker(); }},
-      {"change the config", planned,
+      {"empty a server", Planned, 1, [](Faults &f) { return f.emptyWorker(); }},
+      {"change the config", Planned, 1,
        [](Faults &f) { return f.changeConfig(); }},
-      {"change the config often", planned,
+      {"change the config often", Planned, 1,
        [](Faults &f) { return f.changeConfigOften(); }}};
 }
 
+const Faults::Kind &Faults::anyKind() {
+  int all = 0;
+  for (const Kind &kind : Kinds)
+    all += kind.Weight;
+  int drawn = static_cast<int>(Random.below(static_cast<std::uint64_t>(all)));
+  for (const Kind &kind : Kinds) {
+    drawn -= kind.Weight;
+    if (drawn < 0)
+      return kind;
+  }
+  return Kinds.back();
+}
+
 asio::awaitable<void> Faults::run(base::Instant until) {
   const std::size_t start = Log.beginFault("start", false);
   co_await Plans.change();
@@ -99,7 +120,7 @@
   Log.print(isPlanned ? "-- planned work" : "-- storm");
   const base::Instant end = Journal::now() + length;
   while (Journal::now() < end) {
-    const Kind &kind = Kinds[Random.below(Kinds.size())];
+    const Kind &kind = anyKind();
     // Planned work strikes in storms as well.
     if (kind.IsPlanned || !isPlanned)
       asio::co_spawn(Io, strike(kind), asio::detached);
--- a/test/soak/faults.h
+++ b/test/soak/faults.h
@@ -42,6 +42,8 @@
   struct Kind {
     std::string Name;
     bool IsPlanned = false;
+    /// How often it is drawn, against the others.
+    int Weight = 1;
     std::function<Step(Faults &)> Strike;
   };
 
@@ -74,6 +76,8 @@
   Deployment &All;
   Operators &Plans;
   base::Random Random;
+  const Kind &anyKind();
+
   std::vector<Kind> Kinds;
   int Open = 0;
   bool IsConfigChanging = false;
--- a/test/soak/workers.cc
+++ b/test/soak/workers.cc
@@ -24,6 +24,8 @@
 /// A server whose entry was taken away serves on for a little.
 constexpr int MostOpen = 40;
 constexpr int NotFound = 404;
+/// Part of the requests that a worker in a bad mood spoils.
+constexpr double BadPart = 0.5;
 
 Json parse(const std::string &text) {
   return Json::parse(text, nullptr, false);
@@ -205,16 +207,16 @@
   Log.began(attempt, Id, mayRepeat);
   co_await sleepFor(CallTime);
   const double chance = Random.unit();
-  if (life != Life || (HasMood == Mood::Loses && chance < 0.3))
+  if (life != Life || (HasMood == Mood::Loses && chance < BadPart))
     co_return;
   const std::string body = "done " + attempt + " by " + Id;
-  if (HasMood == Mood::BreaksOff && chance < 0.3) {
+  if (HasMood == Mood::BreaksOff && chance < BadPart) {
     http::Response half = own(request, 200, body);
     co_await x.beginBody(200, std::move(half.Headers));
     co_await x.body(body.substr(0, 7));
     co_return;
   }
-  const bool isError = HasMood == Mood::Errors && chance < 0.5;
+  const bool isError = HasMood == Mood::Errors && chance < BadPart;
   http::Response response = own(request, isError ? 500 : 200, body);
   co_await x.send(std::move(response));
 }
@@ -249,7 +251,7 @@
     co_await x.send(std::move(refused));
     co_return;
   }
-  if (HasMood == Mood::Loses && Random.chance(0.3))
+  if (HasMood == Mood::Loses && Random.chance(BadPart))
     co_return;
   // What the caller has received decides where a moved stream goes on.
   if (const std::string last(request.header("Last-Event-Id"));
@@ -261,7 +263,7 @@
   head.Headers.push_back({"Content-Type", "text/event-stream"});
   co_await x.beginBody(200, std::move(head.Headers));
   const int all = numberIn(request.path());
-  const bool breaksOff = HasMood == Mood::BreaksOff && Random.chance(0.3);
+  const bool breaksOff = HasMood == Mood::BreaksOff && Random.chance(BadPart);
   while (generation->NextEvent < all) {
     co_await sleepFor(EventStep);
     if (life != Life || generation->IsStopped ||
--- a/test/soak/workers.h
+++ b/test/soak/workers.h
@@ -22,8 +22,8 @@
 enum class Mood {
   Well,
   Errors,    ///< Half of its answers are failures of its own.
-  BreaksOff, ///< A third of its answers break off midway.
-  Loses,     ///< It runs a third of the requests and never answers them.
+  BreaksOff, ///< Half of its answers break off midway.
+  Loses,     ///< It runs half of the requests and never answers them.
   Full,      ///< It takes nothing and says so.
 };
 
