--- a/support/process-test.sh
+++ b/support/process-test.sh
@@ -319,7 +319,8 @@
       fail "examples/$example"
   done
   # The operators' page lists every flag with its default.
-  for program in drumlanding-entry drumlanding-agent drumlandingctl; do
+  for program in drumlanding-entry drumlanding-agent drumlandingctl \
+    drumlanding-gateway; do
     "$BUILD/$program" --help | sed -n 's/^  --\([a-z_]*\) (\([a-z0-9]*\), default \(.*\), DRUML.*/\1 \3/p' |
       while read -r flag default; do
         grep -qF "| \`--$flag\` | $default |" "$ROOT/docs/OPERATORS.md" ||
