Who hears the store itself takes no changes of the list from others

Found in reading the diff: a change told late by another gateway could bring back a server that the store has taken away since, at a gateway that follows the store, and nothing would correct it. Test: Directory.WhoHearsTheStoreTakesNoChangesFromOthers.

--- a/include/drumlanding/gateway/peers.h
+++ b/include/drumlanding/gateway/peers.h
@@ -41,6 +41,11 @@
   bool WatchesList = false;
 };
 
+/// True when changes of the list that another gateway tells are to be taken:
+/// not while this gateway hears the store itself, since theirs may be older.
+bool takesOthersChanges(base::Instant now, bool watchesList,
+                        base::Instant listFrom);
+
 class Peers {
 public:
   Peers(base::Instant now, PeersOptions options);
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -233,9 +233,10 @@
     W.Servers.hearAvoided(now, {avoided.server(),
                                 static_cast<int>(avoided.strikes()),
                                 milliseconds(avoided.left_ms())});
-  W.Servers.takePeerChanges(
-      now, fromWire(message.changed_servers()),
-      {message.gone_servers().begin(), message.gone_servers().end()});
+  if (takesOthersChanges(now, W.WatchesList, W.ListFrom))
+    W.Servers.takePeerChanges(
+        now, fromWire(message.changed_servers()),
+        {message.gone_servers().begin(), message.gone_servers().end()});
   hearList(now, message);
 }
 
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -31,6 +31,11 @@
 
 } // namespace
 
+bool takesOthersChanges(base::Instant now, bool watchesList,
+                        base::Instant listFrom) {
+  return !watchesList || now - listFrom > ListIsNewer;
+}
+
 Peers::Peers(base::Instant now, PeersOptions options)
     : Options(std::move(options)), StartedAt(now) {
   for (const base::Endpoint &seed : Options.Seeds)
--- a/test/gateway-random-test.cc
+++ b/test/gateway-random-test.cc
@@ -441,7 +441,9 @@
       core.Runs.takePeer(Now, message.address(), std::move(runs));
     for (const std::string &id : message.leaving_servers())
       core.Servers.markLeaving(Now, id);
-    core.Servers.takePeerChanges(Now, fromWire(message.changed_servers()), {});
+    if (takesOthersChanges(Now, core.WatchesList, core.ListFrom))
+      core.Servers.takePeerChanges(Now, fromWire(message.changed_servers()),
+                                   {});
     if (message.watches_list() &&
         message.list_digest() == core.Servers.digest())
       core.ListFrom =
--- a/test/gateway-test.cc
+++ b/test/gateway-test.cc
@@ -152,6 +152,15 @@
   EXPECT_TRUE(other.find("s2")->IsLeaving);
 }
 
+/// A change that comes late through another gateway would bring back a server
+/// that the store has taken away since, and nothing would correct it.
+TEST(Directory, WhoHearsTheStoreTakesNoChangesFromOthers) {
+  const base::Instant now = Start + seconds(9);
+  EXPECT_FALSE(takesOthersChanges(now, true, now - milliseconds(500)));
+  EXPECT_TRUE(takesOthersChanges(now, true, now - milliseconds(1'500)));
+  EXPECT_TRUE(takesOthersChanges(now, false, now));
+}
+
 /// Gateways change places in following the list: one that knew a new engine
 /// fetched a list without it and never used it again (four of seven engines
 /// left on pwani-minutes scale-1, forecasts of 35,000 tokens for 34,000).
