--- a/test/gateway-test.cc
+++ b/test/gateway-test.cc
@@ -613,6 +613,30 @@
       "far");
 }
 
+/// Engines that reset every request and say that they are well were tried again
+/// by long streams, several at once (lernwerk-ob-grown trouble-1, 25 lost).
+TEST_F(PlacementTest, AStruckEngineIsTriedByOneShortGenerationAtATime) {
+  Servers.put(Start, server("struck"));
+  Servers.put(Start, server("busy"));
+  Servers.note(Start, "struck", ServerOutcome::Broken);
+  for (RunId i = 0; i < 4; ++i) {
+    LedgerRun r = run(i, "busy", 4'000);
+    r.HasBegun = true;
+    Runs.begin(r);
+  }
+  const base::Instant later = Start + seconds(2);
+  const auto chosen = [&](std::uint32_t expected) {
+    return Placing.forGeneration(later, Llm, {2'000, expected}, {})
+        .Chosen->Listed.Id;
+  };
+  EXPECT_EQ(chosen(700), "busy");
+  EXPECT_EQ(chosen(20), "struck");
+  Runs.begin(run(9, "struck", 2'000, 40));
+  EXPECT_EQ(chosen(20), "busy");
+  Servers.note(later, "struck", ServerOutcome::Served);
+  EXPECT_EQ(chosen(700), "struck");
+}
+
 /// Three engines of one zone left at once, and all their generations went to
 /// one destination after another: each copy waited behind two others, and the
 /// last ones came after the engines' end (lernwerk-ob-grown scale-1, 21 streams
