Log what a change of the server list rests on and how long a lost store session was silent

Every change of what is believed of a server now names its evidence (store, gateway, notice, address, absence, requests), store-lost has silent_ms, and drumlanding_gateway_config_age_seconds tells how long ago the config was last known to be current. No decision changes.

--- a/include/drumlanding/gateway/directory.h
+++ b/include/drumlanding/gateway/directory.h
@@ -66,6 +66,17 @@
 /// server was last avoided, or it would never be tried again.
 int strikesOf(const Server &server, base::Instant now);
 
+/// What a change of what is believed of a server rests on.
+enum class Evidence {
+  Store,    ///< The store's list, read by this gateway.
+  Gateway,  ///< Another gateway.
+  Notice,   ///< The process beside the server.
+  Address,  ///< Another server answered at its address.
+  Absence,  ///< It was not listed again in time.
+  Requests, ///< How requests ended there.
+};
+std::string_view toString(Evidence evidence);
+
 /// A server that a gateway avoids, as it tells the others.
 struct AvoidedServer {
   std::string Id;
@@ -97,7 +108,8 @@
   /// address: the list may lag behind what is there.
   std::function<void(const Server &)> OnUnsure;
   /// Called with a sentence for each change of what is believed.
-  std::function<void(std::string_view event, const Server &)> OnChange;
+  std::function<void(std::string_view event, Evidence, const Server &)>
+      OnChange;
 
   /// After a list of another gateway, which may be a little older than what is
   /// known here, a server must be absent for this long to be leaving.
@@ -115,7 +127,8 @@
   /// The whole list as another gateway has it.
   void takePeerList(base::Instant now,
                     const std::vector<ListedServer> &servers);
-  void put(base::Instant now, const ListedServer &server);
+  void put(base::Instant now, const ListedServer &server,
+           Evidence evidence = Evidence::Store);
   /// The list no longer holds the server.
   void remove(base::Instant now, std::string_view id);
   /// The server itself, or another gateway, says that it is leaving.
@@ -156,13 +169,15 @@
   bool isEmpty() const { return Servers.empty(); }
 
 private:
-  void leave(base::Instant now, Server &server);
-  void leaveByAbsence(base::Instant now, Server &server);
-  void miss(base::Instant now, Server &server);
+  void leave(base::Instant now, Server &server, Evidence evidence);
+  void leaveByAbsence(base::Instant now, Server &server, Evidence evidence);
+  void miss(base::Instant now, Server &server, Evidence evidence);
   std::vector<std::string> putAll(base::Instant now,
-                                  const std::vector<ListedServer> &servers);
+                                  const std::vector<ListedServer> &servers,
+                                  Evidence evidence);
   void replaceOthersAt(base::Instant now, const ListedServer &seen);
-  void changed(std::string_view event, const Server &server) const;
+  void changed(std::string_view event, Evidence evidence,
+               const Server &server) const;
   bool isGraceTime(base::Instant now) const;
 
   std::map<std::string, Server, std::less<>> Servers;
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -40,39 +40,60 @@
   return now < server.AvoidUntil + StrikeTime ? server.Strikes : 0;
 }
 
-void Directory::changed(std::string_view event, const Server &server) const {
+std::string_view toString(Evidence evidence) {
+  switch (evidence) {
+  case Evidence::Store:
+    return "store";
+  case Evidence::Gateway:
+    return "gateway";
+  case Evidence::Notice:
+    return "notice";
+  case Evidence::Address:
+    return "address";
+  case Evidence::Absence:
+    return "absence";
+  case Evidence::Requests:
+    break;
+  }
+  return "requests";
+}
+
+void Directory::changed(std::string_view event, Evidence evidence,
+                        const Server &server) const {
   if (OnChange)
-    OnChange(event, server);
+    OnChange(event, evidence, server);
 }
 
-void Directory::leave(base::Instant now, Server &server) {
+void Directory::leave(base::Instant now, Server &server, Evidence evidence) {
   server.IsLeavingByAbsence = false;
   if (server.IsLeaving)
     return;
   server.IsLeaving = true;
   server.LeavingSince = now;
-  changed("server-leaving", server);
+  changed("server-leaving", evidence, server);
   if (OnLeaving)
     OnLeaving(server);
 }
 
-void Directory::leaveByAbsence(base::Instant now, Server &server) {
+void Directory::leaveByAbsence(base::Instant now, Server &server,
+                               Evidence evidence) {
   if (server.IsLeaving)
     return;
-  leave(now, server);
+  leave(now, server, evidence);
   server.IsLeavingByAbsence = true;
 }
 
-void Directory::miss(base::Instant now, Server &server) {
+void Directory::miss(base::Instant now, Server &server, Evidence evidence) {
   if (server.IsMissing)
     return;
   IsDigestKnown = false;
   server.IsMissing = true;
   server.MissingSince = now;
-  changed("server-missing", server);
+  changed("server-missing", evidence, server);
 }
 
-void Directory::put(base::Instant now, const ListedServer &listed) {
+void Directory::put(base::Instant now, const ListedServer &listed,
+                    Evidence evidence) {
   if (!isListedAs(listed))
     IsDigestKnown = false;
   const auto it = Servers.find(listed.Id);
@@ -80,27 +101,27 @@
     const auto added = Servers.emplace(listed.Id, Server{listed}).first;
     added->second.IsListed = true;
     added->second.ColdUntil = now + listed.ColdLeft;
-    changed("server-listed", added->second);
+    changed("server-listed", evidence, added->second);
     if (OnUnsure)
       OnUnsure(added->second);
     if (listed.State == ServerState::Leaving)
-      leave(now, added->second);
+      leave(now, added->second, evidence);
     return;
   }
   Server &server = it->second;
   if (server.IsMissing)
-    changed("server-listed-again", server);
+    changed("server-listed-again", evidence, server);
   server.IsMissing = false;
   server.IsListed = true;
   if (server.IsLeavingByAbsence && listed.State == ServerState::Ready) {
     server.IsLeaving = false;
     server.IsLeavingByAbsence = false;
-    changed("server-back", server);
+    changed("server-back", evidence, server);
   }
   server.Listed = listed;
   server.ColdUntil = now + listed.ColdLeft;
   if (listed.State == ServerState::Leaving)
-    leave(now, server);
+    leave(now, server, evidence);
 }
 
 bool Directory::isGraceTime(base::Instant now) const {
@@ -112,18 +133,19 @@
   const auto it = Servers.find(id);
   if (it == Servers.end())
     return;
-  miss(now, it->second);
+  miss(now, it->second, Evidence::Store);
   if (!isGraceTime(now))
-    leaveByAbsence(now, it->second);
+    leaveByAbsence(now, it->second, Evidence::Store);
 }
 
 /// Puts each server and returns those that are known and not among them.
 std::vector<std::string>
-Directory::putAll(base::Instant now, const std::vector<ListedServer> &servers) {
+Directory::putAll(base::Instant now, const std::vector<ListedServer> &servers,
+                  Evidence evidence) {
   std::set<std::string_view> ids;
   for (const ListedServer &listed : servers) {
     ids.insert(listed.Id);
-    put(now, listed);
+    put(now, listed, evidence);
   }
   std::vector<std::string> missing;
   // One that was only met is not yet expected in the list.
@@ -135,24 +157,24 @@
 
 void Directory::replaceAll(base::Instant now,
                            const std::vector<ListedServer> &servers) {
-  for (const std::string &id : putAll(now, servers))
+  for (const std::string &id : putAll(now, servers, Evidence::Store))
     remove(now, id);
 }
 
 void Directory::takePeerList(base::Instant now,
                              const std::vector<ListedServer> &servers) {
-  for (const std::string &id : putAll(now, servers))
-    miss(now, Servers.find(id)->second);
+  for (const std::string &id : putAll(now, servers, Evidence::Gateway))
+    miss(now, Servers.find(id)->second, Evidence::Gateway);
 }
 
 void Directory::takePeerChanges(base::Instant now,
                                 const std::vector<ListedServer> &put,
                                 const std::vector<std::string> &gone) {
   for (const ListedServer &listed : put)
-    this->put(now, listed);
+    this->put(now, listed, Evidence::Gateway);
   for (const std::string &id : gone)
     if (const auto it = Servers.find(id); it != Servers.end())
-      miss(now, it->second);
+      miss(now, it->second, Evidence::Gateway);
 }
 
 bool Directory::isListedAs(const ListedServer &listed) const {
@@ -165,7 +187,7 @@
 void Directory::markLeaving(base::Instant now, std::string_view id) {
   const auto it = Servers.find(id);
   if (it != Servers.end())
-    leave(now, it->second);
+    leave(now, it->second, Evidence::Gateway);
 }
 
 /// Only one server can have an address: whoever else is listed there has ended.
@@ -175,7 +197,7 @@
         server.IsReplaced)
       continue;
     server.IsReplaced = true;
-    leave(now, server);
+    leave(now, server, Evidence::Address);
   }
 }
 
@@ -188,7 +210,7 @@
   if (it == Servers.end()) {
     // The list does not hold it yet.
     it = Servers.emplace(notice.Seen.Id, Server{notice.Seen}).first;
-    changed("server-met", it->second);
+    changed("server-met", Evidence::Notice, it->second);
   }
   replaceOthersAt(now, notice.Seen);
   Server &server = it->second;
@@ -198,7 +220,7 @@
   if (isTimed && server.GoneAt == base::Instant{})
     server.GoneAt = now + notice.LeavesIn;
   server.IsPlannedLeave = !isTimed;
-  leave(now, server);
+  leave(now, server, Evidence::Notice);
 }
 
 void Directory::markReplaced(base::Instant now, std::string_view id) {
@@ -206,7 +228,7 @@
   if (it == Servers.end())
     return;
   it->second.IsReplaced = true;
-  leave(now, it->second);
+  leave(now, it->second, Evidence::Address);
   if (OnUnsure)
     OnUnsure(it->second);
 }
@@ -227,7 +249,7 @@
     Server &server = it->second;
     if (server.IsMissing && !isGraceTime(now) &&
         now - server.MissingSince >= AbsenceTime)
-      leaveByAbsence(now, server);
+      leaveByAbsence(now, server, Evidence::Absence);
     const bool isOver = server.IsLeaving && server.IsMissing &&
                         server.Open == 0 &&
                         now - server.LeavingSince > ForgetAfter;
@@ -244,14 +266,14 @@
   if (outcome == ServerOutcome::Broken) {
     server.Strikes = strikesOf(server, now) + 1;
     server.AvoidUntil = now + avoidTime(server.Strikes);
-    changed("server-avoided", server);
+    changed("server-avoided", Evidence::Requests, server);
     return;
   }
   if (outcome == ServerOutcome::Served)
     server.Strikes = 0;
   if (outcome == ServerOutcome::Unreachable) {
     server.AvoidUntil = now + UnreachableTime;
-    changed("server-unreachable", server);
+    changed("server-unreachable", Evidence::Requests, server);
     return;
   }
   const double failed = outcome == ServerOutcome::Served ? 0 : 1;
@@ -261,7 +283,7 @@
   server.AvoidUntil = now + AvoidTime;
   // The next outcomes decide whether it is avoided again.
   server.FailurePart = MostFailures - OutcomeWeight;
-  changed("server-avoided", server);
+  changed("server-avoided", Evidence::Requests, server);
 }
 
 void Directory::hearAvoided(base::Instant now, const AvoidedServer &avoided) {
@@ -271,7 +293,7 @@
   it->second.Strikes = avoided.Strikes;
   it->second.AvoidUntil = std::max(it->second.AvoidUntil,
                                    now + std::min(avoided.Left, MostAvoidTime));
-  changed("server-avoided", it->second);
+  changed("server-avoided", Evidence::Gateway, it->second);
 }
 
 std::vector<AvoidedServer> Directory::avoided(base::Instant now) const {
--- a/src/gateway/gateway-metrics.cc
+++ b/src/gateway/gateway-metrics.cc
@@ -83,6 +83,8 @@
               static_cast<double>(world.Others.live(now).size()));
   metrics.set("drumlanding_gateway_list_age_seconds",
               inSeconds(now - world.ListFrom));
+  metrics.set("drumlanding_gateway_config_age_seconds",
+              inSeconds(now - world.ConfigFrom));
   metrics.set("drumlanding_gateway_log_lines_dropped",
               static_cast<double>(world.Log.dropped()));
 }
--- a/src/gateway/shell.cc
+++ b/src/gateway/shell.cc
@@ -31,8 +31,10 @@
       W.TellPeers();
   };
   W.Runs.OnChange = [this] { Moves.runsChanged(); };
-  W.Servers.OnChange = [this](std::string_view event, const Server &server) {
+  W.Servers.OnChange = [this](std::string_view event, Evidence evidence,
+                              const Server &server) {
     W.Log.write(event, {{"server", server.Listed.Id},
+                        {"evidence", toString(evidence)},
                         {"service", server.Listed.Service},
                         {"address", base::toString(server.Listed.Address)},
                         {"zone", server.Listed.Zone}});
--- a/src/gateway/store-watch.cc
+++ b/src/gateway/store-watch.cc
@@ -32,11 +32,13 @@
 /// Tells whether the store answers, once for each change.
 class StoreHealth {
 public:
-  StoreHealth(World &world, std::string_view what) : W(world), What(what) {}
+  StoreHealth(World &world, std::string_view what)
+      : W(world), What(what), AnsweredAt(world.now()) {}
 
   void answered() {
     countStoreCall(W.Metrics, What, true);
     W.Servers.storeAnswered(W.now());
+    AnsweredAt = W.now();
     if (IsAway)
       W.Log.write("store-regained", {{"what", What}});
     IsAway = false;
@@ -48,7 +50,9 @@
     countStoreCall(W.Metrics, What, false);
     W.Servers.storeFailed(W.now());
     if (!IsAway)
-      W.Log.write("store-lost", {{"what", What}, {"why", describe(e)}});
+      W.Log.write("store-lost", {{"what", What},
+                                 {"why", describe(e)},
+                                 {"silent_ms", silentFor().count()}});
     IsAway = true;
     const milliseconds pause = Pause;
     Pause =
@@ -57,8 +61,13 @@
   }
 
 private:
+  milliseconds silentFor() const {
+    return milliseconds(base::toMs(W.now() - AnsweredAt));
+  }
+
   World &W;
   std::string_view What;
+  base::Instant AnsweredAt;
   bool IsAway = false;
   milliseconds Pause = FirstPause;
 };
@@ -106,6 +115,7 @@
     if (!ok(news))
       co_return error(news);
     health.answered();
+    world.ConfigFrom = world.now();
     revision = value(news).Revision;
     if (!value(news).Text.empty())
       world.takeConfig(std::move(value(news).Text), "store");
@@ -138,6 +148,7 @@
       continue;
     }
     health.answered();
+    world.ConfigFrom = world.now();
     if (!value(read).Text.empty())
       world.takeConfig(std::move(value(read).Text), "store");
     const base::Error e =
--- a/src/gateway/world.h
+++ b/src/gateway/world.h
@@ -70,6 +70,8 @@
   Peers Others;
   /// The config in force; null before the first.
   RouteTablePointer Routes;
+  /// When the config was last known to be the store's newest.
+  base::Instant ConfigFrom{};
   /// Its text, for peers that are behind.
   std::string ConfigText;
   /// When the list of servers was last heard from the store, by whomever.
