--- /dev/null
+++ b/test/store-session-test.cc
@@ -0,0 +1,368 @@
+// A whole gateway before a stand-in for the platform's store, whose connections
+// go silent or which does not answer this gateway alone.
+#include "gateway.pb.h"
+#include "platform/dialect.h"
+#include "platform/source.h"
+#include "shell.h"
+
+#include "drumlanding/daemon/sleep.h"
+#include "drumlanding/gateway/datagrams.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+
+namespace drumlanding::gateway {
+namespace {
+
+using base::milliseconds;
+using base::seconds;
+using daemon::sleepFor;
+using Json = nlohmann::json;
+
+/// Longer than any test needs, so that a hang ends as a failure.
+constexpr seconds TestLimit{20};
+constexpr milliseconds Step{5};
+/// The stated bounds: a confirmed config is in force, and a server that has
+/// left gets no requests, after this time.
+constexpr milliseconds ConfigBound{2'000};
+constexpr milliseconds DrainBound{2'000};
+
+base::Endpoint freeEndpoint() {
+  asio::io_context io;
+  asio::ip::tcp::acceptor a(io, {asio::ip::make_address("127.0.0.1"), 0});
+  return {"127.0.0.1", a.local_endpoint().port()};
+}
+
+asio::awaitable<void> sendJson(http::Exchange &x, Json body) {
+  http::Response response{200, "application/json", body.dump(), {}};
+  co_await x.send(std::move(response));
+}
+
+/// The store's published interface, as far as gateways use it.
+class StoreStandIn {
+public:
+  explicit StoreStandIn(asio::io_context &io) : Address(freeEndpoint()) {
+    auto made = http::Server::listen(
+        io, Address, {}, [this](http::Request r, http::Exchange &x) {
+          return serve(std::move(r), x);
+        });
+    Listener = std::move(value(made));
+  }
+
+  void put(const std::string &key, std::string value) {
+    Entries[key] = {std::move(value), ++Revision, false};
+  }
+
+  void remove(const std::string &key) { Entries[key] = {"", ++Revision, true}; }
+
+  /// Connections that are open now never answer; new ones do.
+  void silenceOpenConnections() { ++Generation; }
+
+  base::Endpoint Address;
+  /// No call is answered.
+  bool IsCutOff = false;
+
+private:
+  struct Entry {
+    std::string Value;
+    std::uint64_t Revision = 0;
+    bool IsGone = false;
+  };
+
+  static Json toJson(const std::string &key, const Entry &entry) {
+    Json json{{"tlsKey", key}, {"rev", entry.Revision}};
+    if (entry.IsGone)
+      json["gone"] = true;
+    else
+      json["value"] = platform::encodeValue(entry.Value);
+    return json;
+  }
+
+  Json entries(std::string_view prefix, std::uint64_t after,
+               bool withGone) const {
+    Json list = Json::array();
+    for (const auto &[key, entry] : Entries)
+      if (key.starts_with(prefix) && entry.Revision > after &&
+          (withGone || !entry.IsGone))
+        list.push_back(toJson(key, entry));
+    return list;
+  }
+
+  asio::awaitable<void> serve(http::Request request, http::Exchange &x) {
+    if (IsCutOff) {
+      co_await sleepFor(TestLimit);
+      co_return;
+    }
+    const std::string path(request.path());
+    if (path == "/drumlanding/kv-watch") {
+      co_await watch(request, x);
+      co_return;
+    }
+    Json answer{{"at", Revision}};
+    if (path == "/drumlanding/kv-range") {
+      const std::string prefix(request.query("pathPrefix"));
+      answer["items"] = entries(prefix, 0, false);
+      answer["more"] = false;
+    } else {
+      const std::string key(request.query("tlsKey"));
+      answer = toJson(key, Entries[key]);
+      answer["at"] = Revision;
+    }
+    co_await sendJson(x, std::move(answer));
+  }
+
+  asio::awaitable<void> watch(const http::Request &request, http::Exchange &x) {
+    const std::string prefix(request.query("pathPrefix"));
+    const auto after = std::stoull(std::string(request.query("sinceRev")));
+    const milliseconds wait(std::stoll(std::string(request.query("waitMs"))));
+    const int generation = Generation;
+    Json events = Json::array();
+    for (milliseconds waited{0}; events.empty() && waited < wait;
+         waited += Step) {
+      co_await sleepFor(Step);
+      if (generation != Generation || IsCutOff) {
+        co_await sleepFor(TestLimit);
+        co_return;
+      }
+      events = entries(prefix, after, true);
+    }
+    Json answer{{"events", std::move(events)}, {"at", Revision}};
+    co_await sendJson(x, std::move(answer));
+  }
+
+  std::map<std::string, Entry> Entries;
+  std::uint64_t Revision = 1;
+  int Generation = 0;
+  std::unique_ptr<http::Server> Listener;
+};
+
+/// A plain service's server that counts its requests.
+class CountingServer {
+public:
+  CountingServer(asio::io_context &io, std::string id)
+      : Id(std::move(id)), Address(freeEndpoint()) {
+    auto made = http::Server::listen(
+        io, Address, {}, [this](http::Request r, http::Exchange &x) {
+          return serve(std::move(r), x);
+        });
+    Listener = std::move(value(made));
+  }
+
+  Json entry() const {
+    return {{"backend", "shop"}, {"address", base::toString(Address)},
+            {"zone", "a"},       {"slots", 6},
+            {"state", "ready"},  {"coldLeftMs", 0},
+            {"seq", 1},          {"version", 1}};
+  }
+
+  std::string Id;
+  base::Endpoint Address;
+  int Requests = 0;
+
+private:
+  asio::awaitable<void> serve(http::Request request, http::Exchange &x) {
+    ++Requests;
+    http::Response response{200, "text/plain", "well", {}};
+    response.Headers = {
+        {"X-Attempt-Id", std::string(request.header("X-Attempt-Id"))},
+        {"X-Served-Stamp", Id}};
+    co_await x.send(std::move(response));
+  }
+
+  std::unique_ptr<http::Server> Listener;
+};
+
+/// Another gateway, as far as its messages about the list go.
+class PeerStandIn {
+public:
+  PeerStandIn(asio::io_context &io, std::vector<const CountingServer *> listed)
+      : Address(freeEndpoint()), Listed(std::move(listed)) {
+    auto socket = Datagrams::open(io, Address);
+    Socket = std::move(value(socket));
+    auto made = http::Server::listen(
+        io, Address, {},
+        [this](http::Request, http::Exchange &x) { return serveList(x); });
+    Listener = std::move(value(made));
+  }
+
+  /// Says that it hears the store, and what has gone from the list.
+  void tell(const base::Endpoint &to, const std::string &gone) {
+    wire::Gossip message;
+    message.set_name("peer");
+    message.set_address(base::toString(Address));
+    message.set_incarnation(1);
+    message.set_watches_list(true);
+    if (!gone.empty())
+      message.add_gone_servers(gone);
+    Socket->send(to, message.SerializeAsString());
+  }
+
+  base::Endpoint Address;
+  std::vector<const CountingServer *> Listed;
+
+private:
+  asio::awaitable<void> serveList(http::Exchange &x) {
+    wire::ServerList list;
+    for (const CountingServer *server : Listed) {
+      wire::Server &out = *list.add_servers();
+      out.set_id(server->Id);
+      out.set_service("shop");
+      out.set_address(base::toString(server->Address));
+      out.set_zone("a");
+      out.set_slots(6);
+    }
+    http::Response response{200, "application/octet-stream", "", {}};
+    response.Body = list.SerializeAsString();
+    co_await x.send(std::move(response));
+  }
+
+  std::unique_ptr<Datagrams> Socket;
+  std::unique_ptr<http::Server> Listener;
+};
+
+Json route(const std::string &prefix) {
+  return {{"name", prefix},       {"host", "a.example"}, {"pathPrefix", prefix},
+          {"kind", "idempotent"}, {"timeoutMs", 3'000},  {"backend", "shop"},
+          {"public", true},       {"maxAttempts", 1}};
+}
+
+std::string config(int version, const std::vector<std::string> &prefixes) {
+  Json json{{"version", version},
+            {"routes", Json::array()},
+            {"services", {{{"name", "shop"}}}}};
+  for (const std::string &prefix : prefixes)
+    json["routes"].push_back(route(prefix));
+  return json.dump();
+}
+
+class StoreSessionTest : public testing::Test {
+protected:
+  StoreSessionTest() {
+    Store.put("op/config", config(1, {"/old/"}));
+    Store.put("servers/s1", One.entry().dump());
+    Store.put("servers/s2", Two.entry().dump());
+    asio::co_spawn(Io, report(), asio::detached);
+  }
+
+  /// Servers write their entries all the time.
+  asio::awaitable<void> report() {
+    constexpr milliseconds ReportEvery{300};
+    for (;;) {
+      co_await sleepFor(ReportEvery);
+      if (IsTwoListed)
+        Store.put("servers/s2", Two.entry().dump());
+    }
+  }
+
+  void startGateway(std::vector<base::Endpoint> seeds = {}) {
+    GatewaySettings settings;
+    settings.Name = "gateway";
+    settings.Zone = "a";
+    settings.Listen = freeEndpoint();
+    settings.ReadyListen = freeEndpoint();
+    settings.ControlListen = freeEndpoint();
+    settings.Seeds = std::move(seeds);
+    settings.Retries = {0.2, 50, seconds(10)};
+    auto shell = Shell::start(Io, Clock, settings, platform::makeDialect(),
+                              platform::makeSource(Client));
+    ASSERT_TRUE(ok(shell)) << describe(error(shell));
+    Gateway = std::move(value(shell));
+    At = settings.Listen;
+    ControlAt = settings.ControlListen;
+  }
+
+  template <typename Body> void runTest(Body body) {
+    bool isDone = false;
+    asio::co_spawn(
+        Io,
+        [&]() -> asio::awaitable<void> {
+          while (!Gateway->world().isReady())
+            co_await sleepFor(Step);
+          co_await body();
+          isDone = true;
+          Io.stop();
+        },
+        [](std::exception_ptr e) {
+          if (e)
+            std::rethrow_exception(e);
+        });
+    Io.run_for(TestLimit);
+    EXPECT_TRUE(isDone) << "the test hangs";
+  }
+
+  asio::awaitable<int> statusOf(std::string path) {
+    http::Request request{"GET",
+                          std::move(path),
+                          {{"Host", "a.example"}, {"X-Attempt-Id", "id-1"}},
+                          {}};
+    http::Fetched fetched =
+        co_await http::fetch(At, std::move(request), TestLimit);
+    co_return ok(fetched.Answer) ? value(fetched.Answer).Status : 0;
+  }
+
+  asio::awaitable<void> call(int times) {
+    for (int i = 0; i < times; ++i) {
+      const int status = co_await statusOf("/old/x");
+      EXPECT_EQ(status, 200);
+    }
+  }
+
+  asio::io_context Io{1};
+  base::SystemClock Clock;
+  StoreStandIn Store{Io};
+  CountingServer One{Io, "s1"};
+  CountingServer Two{Io, "s2"};
+  bool IsTwoListed = true;
+  platform::Store Client{Store.Address};
+  std::unique_ptr<Shell> Gateway;
+  base::Endpoint At;
+  base::Endpoint ControlAt;
+};
+
+/// Guards against a gateway that goes on with an old config because its open
+/// connections to the store have gone silent (issue 17, CONFIG).
+TEST_F(StoreSessionTest, ConfigIsInForceInTimeWhenOpenConnectionsGoSilent) {
+  startGateway();
+  runTest([&]() -> asio::awaitable<void> {
+    // The watches are open.
+    co_await sleepFor(milliseconds(500));
+    Store.silenceOpenConnections();
+    Store.put("op/config", config(2, {"/old/", "/new/"}));
+    co_await sleepFor(ConfigBound);
+    const int status = co_await statusOf("/new/x");
+    EXPECT_EQ(status, 200);
+  });
+}
+
+/// Guards against a gateway that sends requests to a server that has left
+/// because it takes its own lost session for an outage of the store, though
+/// another gateway hears the store (issue 17, DRAIN).
+TEST_F(StoreSessionTest, AServerThatLeftGetsNothingFromAGatewayThatIsCutOff) {
+  PeerStandIn peer(Io, {&One, &Two});
+  startGateway({peer.Address});
+  runTest([&]() -> asio::awaitable<void> {
+    constexpr milliseconds TellEvery{200};
+    // Longer than any watch waits.
+    constexpr seconds CutOff{6};
+    Store.IsCutOff = true;
+    for (milliseconds t{0}; t < CutOff; t += TellEvery) {
+      peer.tell(ControlAt, "");
+      co_await sleepFor(TellEvery);
+    }
+    co_await call(10);
+    One.Requests = 0;
+    peer.Listed = {&Two};
+    for (milliseconds t{0}; t < DrainBound; t += TellEvery) {
+      peer.tell(ControlAt, t == milliseconds(0) ? "s1" : "");
+      co_await sleepFor(TellEvery);
+    }
+    co_await call(10);
+    EXPECT_EQ(One.Requests, 0);
+  });
+}
+
+} // namespace
+} // namespace drumlanding::gateway
