--- a/include/drumlanding/gateway/directory.h
+++ b/include/drumlanding/gateway/directory.h
@@ -6,9 +6,10 @@
 ///   directory.put(now, server); directory.remove(now, id);
 ///   for (const Server *s : directory.usable(now, "tutor-llm")) ...
 ///
-/// Entries that vanish while the store is away, or just after its return, may
-/// have lapsed with their server well: they stay in use until GraceAfterReturn
-/// has passed without them.
+/// Servers renew their entries in the store. After nobody has heard from the
+/// store for longer than an entry may go without renewal, an absent entry may
+/// have lapsed with its server well: the server stays in use until
+/// GraceAfterReturn has passed without it.
 #pragma once
 
 #include "drumlanding/gateway/config.h"
@@ -98,10 +99,15 @@
   /// After the store's return, lapsed entries have this long to come back: the
   /// servers write theirs again within two seconds.
   static constexpr base::milliseconds GraceAfterReturn{2'300};
+  /// How often servers renew their entries unless the settings say otherwise.
+  static constexpr base::milliseconds DefaultRenewal{1'200};
   /// A server that the list has lost, or that is leaving, is forgotten after
   /// this: its last requests have ended by then.
   static constexpr base::seconds ForgetAfter{60};
 
+  explicit Directory(base::milliseconds renewal = DefaultRenewal)
+      : LapseTime(LapsedRenewals * renewal) {}
+
   /// Called when a server is first known to leave.
   std::function<void(const Server &)> OnLeaving;
   /// Called when a server is newly listed, or another one has answered at its
@@ -111,6 +117,9 @@
   std::function<void(std::string_view event, Evidence, const Server &)>
       OnChange;
 
+  /// Called when the store is heard again after an outage, with its length.
+  std::function<void(base::Duration)> OnOutageOver;
+
   /// After a list of another gateway, which may be a little older than what is
   /// known here, a server must be absent for this long to be leaving.
   static constexpr base::milliseconds AbsenceTime{1'000};
@@ -139,10 +148,10 @@
   /// Another server answered at its address: it has ended.
   void markReplaced(base::Instant now, std::string_view id);
 
-  /// A call to the store failed, or one succeeded.
-  void storeFailed(base::Instant now);
-  void storeAnswered(base::Instant now);
-  /// Lets go of what the store has not listed again.
+  /// The store's list was read at that moment, by this gateway or by one that
+  /// says so itself.
+  void heardStore(base::Instant at);
+  /// Evicts servers that were not listed again in time.
   void tick(base::Instant now);
 
   void note(base::Instant now, std::string_view id, ServerOutcome outcome);
@@ -178,12 +187,16 @@
   void replaceOthersAt(base::Instant now, const ListedServer &seen);
   void changed(std::string_view event, Evidence evidence,
                const Server &server) const;
-  bool isGraceTime(base::Instant now) const;
+  bool mayHaveLapsed(base::Instant now) const;
+
+  /// Entries lapse after three renewals are missed; the first of them may have
+  /// been due right after the store went away.
+  static constexpr int LapsedRenewals = 2;
 
   std::map<std::string, Server, std::less<>> Servers;
-  bool IsStoreAway = false;
-  base::Instant StoreFailedAt{};
-  base::Instant StoreBackAt{};
+  base::milliseconds LapseTime;
+  base::Instant StoreHeardAt{};
+  base::Instant GraceUntil{};
   mutable std::uint64_t Digest = 0;
   /// False when the list has changed since the digest was worked out.
   mutable bool IsDigestKnown = false;
--- a/include/drumlanding/gateway/peers.h
+++ b/include/drumlanding/gateway/peers.h
@@ -37,14 +37,18 @@
   std::uint64_t ConfigVersion = 0;
   /// When its list of servers was last heard from the store.
   base::Instant ListFrom{};
-  /// It follows the store's list itself.
+  /// It hears the store's list itself.
   bool WatchesList = false;
 };
 
+/// A list of servers that was heard from the store longer ago than this is old:
+/// news of the store come several times a second.
+inline constexpr base::milliseconds ListIsOld{1'500};
+
 /// True when changes of the list that another gateway tells are to be taken:
 /// not while this gateway hears the store itself, since theirs may be older.
 bool takesOthersChanges(base::Instant now, bool watchesList,
-                        base::Instant listFrom);
+                        base::Instant heardAt);
 
 class Peers {
 public:
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -124,9 +124,8 @@
     leave(now, server, evidence);
 }
 
-bool Directory::isGraceTime(base::Instant now) const {
-  return IsStoreAway || (StoreBackAt != base::Instant{} &&
-                         now - StoreBackAt < GraceAfterReturn);
+bool Directory::mayHaveLapsed(base::Instant now) const {
+  return now < GraceUntil || now - StoreHeardAt >= LapseTime;
 }
 
 void Directory::remove(base::Instant now, std::string_view id) {
@@ -134,7 +133,7 @@
   if (it == Servers.end())
     return;
   miss(now, it->second, Evidence::Store);
-  if (!isGraceTime(now))
+  if (!mayHaveLapsed(now))
     leaveByAbsence(now, it->second, Evidence::Store);
 }
 
@@ -233,21 +232,23 @@
     OnUnsure(it->second);
 }
 
-void Directory::storeFailed(base::Instant now) {
-  IsStoreAway = true;
-  StoreFailedAt = now;
-}
-
-void Directory::storeAnswered(base::Instant now) {
-  if (IsStoreAway)
-    StoreBackAt = now;
-  IsStoreAway = false;
+void Directory::heardStore(base::Instant at) {
+  if (at <= StoreHeardAt)
+    return;
+  const base::Duration silence = at - StoreHeardAt;
+  const bool isFirst = StoreHeardAt == base::Instant{};
+  StoreHeardAt = at;
+  if (silence < LapseTime)
+    return;
+  GraceUntil = at + GraceAfterReturn;
+  if (!isFirst && OnOutageOver)
+    OnOutageOver(silence);
 }
 
 void Directory::tick(base::Instant now) {
   for (auto it = Servers.begin(); it != Servers.end();) {
     Server &server = it->second;
-    if (server.IsMissing && !isGraceTime(now) &&
+    if (server.IsMissing && !mayHaveLapsed(now) &&
         now - server.MissingSince >= AbsenceTime)
       leaveByAbsence(now, server, Evidence::Absence);
     const bool isOver = server.IsLeaving && server.IsMissing &&
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -114,12 +114,10 @@
   message.set_address(base::toString(W.Settings.ControlListen));
   message.set_incarnation(W.Incarnation);
   message.set_config_version(W.Routes ? W.Routes->config().Version : 0);
-  const base::Instant from = W.ListFrom == base::Instant{}
-                                 ? base::Instant(base::Duration{0})
-                                 : W.ListFrom;
+  const base::Instant from = W.hearsList() ? W.ListHeardAt : W.ListFrom;
   message.set_list_age_ms(static_cast<std::uint64_t>(base::toMs(now - from)));
   message.set_list_digest(W.Servers.digest());
-  message.set_watches_list(W.WatchesList);
+  message.set_watches_list(W.hearsList());
   for (std::string &id : W.Servers.leaving(now))
     message.add_leaving_servers(std::move(id));
   for (const AvoidedServer &avoided : W.Servers.avoided(now)) {
@@ -233,7 +231,11 @@
     W.Servers.hearAvoided(now, {avoided.server(),
                                 static_cast<int>(avoided.strikes()),
                                 milliseconds(avoided.left_ms())});
-  if (takesOthersChanges(now, W.WatchesList, W.ListFrom))
+  // An outage of the store is one that nobody hears it in, not one of this
+  // gateway's own path to it.
+  if (message.watches_list())
+    W.Servers.heardStore(now - milliseconds(message.list_age_ms()));
+  if (takesOthersChanges(now, W.WatchesList, W.ListHeardAt))
     W.Servers.takePeerChanges(
         now, fromWire(message.changed_servers()),
         {message.gone_servers().begin(), message.gone_servers().end()});
@@ -243,7 +245,8 @@
 /// A gateway that follows the store's list has the same one: it is as fresh
 /// as theirs.
 void Gossip::hearList(base::Instant now, const wire::Gossip &message) {
-  if (!message.watches_list() || message.list_digest() != W.Servers.digest())
+  if (!message.watches_list() || W.hearsList() ||
+      message.list_digest() != W.Servers.digest())
     return;
   W.ListFrom = std::max(W.ListFrom, now - milliseconds(message.list_age_ms()));
 }
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -19,9 +19,6 @@
 constexpr int UnknownGateways = 30;
 /// Gateways that follow the store's list: two, so that one can fail.
 constexpr int Watchers = 2;
-/// A gateway whose list is older than this does not count: news of the store
-/// come several times a second.
-constexpr base::milliseconds ListIsOld{1'500};
 /// Another gateway's list is clearly newer when it is so by this much.
 constexpr base::milliseconds ListIsNewer{1'000};
 /// How often silent addresses are tried.
@@ -32,8 +29,8 @@
 } // namespace
 
 bool takesOthersChanges(base::Instant now, bool watchesList,
-                        base::Instant listFrom) {
-  return !watchesList || now - listFrom > ListIsNewer;
+                        base::Instant heardAt) {
+  return !watchesList || now - heardAt > ListIsNewer;
 }
 
 Peers::Peers(base::Instant now, PeersOptions options)
--- a/src/gateway/shell.cc
+++ b/src/gateway/shell.cc
@@ -31,6 +31,9 @@
       W.TellPeers();
   };
   W.Runs.OnChange = [this] { Moves.runsChanged(); };
+  W.Servers.OnOutageOver = [this](base::Duration length) {
+    W.Log.write("store-outage-over", {{"ms", base::toMs(length)}});
+  };
   W.Servers.OnChange = [this](std::string_view event, Evidence evidence,
                               const Server &server) {
     W.Log.write(event, {{"server", server.Listed.Id},
--- a/src/gateway/store-watch.cc
+++ b/src/gateway/store-watch.cc
@@ -15,6 +15,8 @@
 /// A watch that says nothing for so long is asked anew, so that a connection
 /// that died in silence is noticed.
 constexpr milliseconds WatchWait{4'000};
+/// The same for the list of servers, whose renewals come all the time.
+constexpr milliseconds ListWatchWait{500};
 /// The same for a gateway that hears of changes from others: each call to the
 /// store is paid for.
 constexpr milliseconds RelayedWatchWait{12'000};
@@ -37,7 +39,6 @@
 
   void answered() {
     countStoreCall(W.Metrics, What, true);
-    W.Servers.storeAnswered(W.now());
     AnsweredAt = W.now();
     if (IsAway)
       W.Log.write("store-regained", {{"what", What}});
@@ -48,7 +49,6 @@
   /// Returns how long to wait before the next call.
   milliseconds failed(const base::Error &e) {
     countStoreCall(W.Metrics, What, false);
-    W.Servers.storeFailed(W.now());
     if (!IsAway)
       W.Log.write("store-lost", {{"what", What},
                                  {"why", describe(e)},
@@ -76,8 +76,15 @@
   return e.Code == base::ErrorCode::NotFound;
 }
 
+void noteListHeard(World &world, base::Instant now) {
+  world.ListHeardAt = now;
+  world.ListFrom = now;
+  world.Servers.heardStore(now);
+}
+
 void apply(World &world, const ServerChanges &changes) {
   const base::Instant now = world.now();
+  noteListHeard(world, now);
   const std::uint64_t before = world.Servers.digest();
   for (const ServerChange &change : changes.Changes) {
     // Servers write their entries all the time: few writes change anything.
@@ -91,7 +98,6 @@
     else
       world.Servers.remove(now, change.Id);
   }
-  world.ListFrom = now;
   if (world.Servers.digest() != before && world.TellPeers)
     world.TellPeers();
 }
@@ -101,8 +107,9 @@
   for (const ServerChange &change : list.Changes)
     if (change.Listed)
       servers.push_back(*change.Listed);
-  world.Servers.replaceAll(world.now(), servers);
-  world.ListFrom = world.now();
+  const base::Instant now = world.now();
+  noteListHeard(world, now);
+  world.Servers.replaceAll(now, servers);
 }
 
 /// Follows changes from a revision until the watch fails, or until others do it
@@ -126,7 +133,7 @@
                                            std::uint64_t revision) {
   do {
     co_await sleepFor(GatherTime);
-    const auto news = co_await world.From.WatchServers(revision, WatchWait);
+    const auto news = co_await world.From.WatchServers(revision, ListWatchWait);
     if (!ok(news))
       co_return error(news);
     health.answered();
--- a/src/gateway/world.h
+++ b/src/gateway/world.h
@@ -37,6 +37,8 @@
   RetryBudgetOptions Retries;
   /// How long a server that leaves as planned serves at least.
   base::milliseconds Drain{2'000};
+  /// How often servers renew their entries in the store.
+  base::milliseconds Renewal = Directory::DefaultRenewal;
   /// From the order to stop until the process is killed.
   base::milliseconds Grace{8'000};
 };
@@ -49,8 +51,8 @@
         GatewaySettings settings, Dialect dialect, Source source)
       : Io(io), Clock(clock), Settings(std::move(settings)),
         Words(std::move(dialect)), From(std::move(source)), Log(Settings.Name),
-        Placing(Servers, Runs, Settings.Zone), Budget(Settings.Retries),
-        Random(base::secureRandom64()),
+        Servers(Settings.Renewal), Placing(Servers, Runs, Settings.Zone),
+        Budget(Settings.Retries), Random(base::secureRandom64()),
         Others(now(), {Settings.Name, Settings.ControlListen, Incarnation,
                        Settings.Seeds}) {}
 
@@ -76,8 +78,10 @@
   std::string ConfigText;
   /// When the list of servers was last heard from the store, by whomever.
   base::Instant ListFrom{};
-  /// This gateway follows the store's list itself, as it does until others are
-  /// known to do it.
+  /// When this gateway itself last heard it from the store.
+  base::Instant ListHeardAt{};
+  /// This gateway is to follow the store's list itself, as it does until others
+  /// are known to do it.
   bool WatchesList = true;
   /// Changes of the list heard from the store and not yet told to the others.
   std::vector<ServerChange> ListNews;
@@ -90,6 +94,10 @@
   std::function<void()> TellPeers;
 
   base::Instant now() const { return Clock.now().Steady; }
+  /// True while the store's list reaches this gateway without help of others.
+  bool hearsList() const {
+    return WatchesList && now() - ListHeardAt < ListIsOld;
+  }
   bool isReady() const { return Routes && !Servers.isEmpty() && !IsLeaving; }
   /// When a gateway that was told to stop ends, whatever is still open.
   base::Instant stopAt() const {
