--- a/src/gateway/main.cc
+++ b/src/gateway/main.cc
@@ -38,6 +38,9 @@
 DEFINE_int32(drain_ms, 2000,
              "[decisions] time that a server serves after it said that it "
              "leaves, in ms, 100 to 600000");
+DEFINE_int32(config_apply_ms, 2000,
+             "[decisions] time in which a config that the store has taken is "
+             "to be in force, in ms, 100 to 600000");
 DEFINE_int32(renewal_ms, 1200,
              "[decisions] how often servers renew their entries in the store, "
              "in ms, 10 to 600000");
@@ -52,7 +55,7 @@
     "node_file",  "listen",      "ready_listen",   "gateway_listen",
     "platform",   "seeds",       "metrics_listen", "sidecar_port",
     "retry_part", "retry_extra", "drain_ms",       "retry_window_s",
-    "grace_s",    "renewal_ms"};
+    "grace_s",    "renewal_ms",  "config_apply_ms"};
 
 base::milliseconds toMilliseconds(double seconds) {
   return base::milliseconds(static_cast<std::int64_t>(seconds * 1000));
@@ -118,6 +121,9 @@
   settings.Drain = base::milliseconds(FLAGS_drain_ms);
   if (FLAGS_renewal_ms < 10 || FLAGS_renewal_ms > 600000)
     return base::invalid("--renewal_ms", "must be from 10 to 600000");
+  if (FLAGS_config_apply_ms < 100 || FLAGS_config_apply_ms > 600000)
+    return base::invalid("--config_apply_ms", "must be from 100 to 600000");
+  settings.ConfigApply = base::milliseconds(FLAGS_config_apply_ms);
   settings.Renewal = base::milliseconds(FLAGS_renewal_ms);
   settings.Grace = toMilliseconds(FLAGS_grace_s);
   return settings;
--- a/src/gateway/shell.cc
+++ b/src/gateway/shell.cc
@@ -124,6 +124,7 @@
                             fresh.Store != W.Settings.Store;
   W.Settings.Retries = fresh.Retries;
   W.Settings.Drain = fresh.Drain;
+  W.Settings.ConfigApply = fresh.ConfigApply;
   W.Settings.Grace = fresh.Grace;
   W.Budget.setOptions(fresh.Retries);
   W.Log.write("settings-taken", {{"needs_restart", needsRestart}});
--- a/src/gateway/store-watch.cc
+++ b/src/gateway/store-watch.cc
@@ -5,21 +5,29 @@
 #include "drumlanding/daemon/sleep.h"
 
 #include <algorithm>
+#include <boost/asio/experimental/awaitable_operators.hpp>
 
 namespace drumlanding::gateway {
 namespace {
 
+using namespace asio::experimental::awaitable_operators;
+
 using base::milliseconds;
 using daemon::sleepFor;
 
 /// A watch that says nothing for so long is asked anew, so that a connection
-/// that died in silence is noticed.
-constexpr milliseconds WatchWait{4'000};
+/// that died in silence is noticed while there is time to read the config again
+/// and to tell the others before it has to be in force.
+constexpr milliseconds ShortestWatchWait{100};
+constexpr milliseconds LongestWatchWait{4'000};
+constexpr double WatchPart = 0.4;
 /// The same for the list of servers, whose renewals come all the time.
 constexpr milliseconds ListWatchWait{500};
 /// The same for a gateway that hears of changes from others: each call to the
 /// store is paid for.
 constexpr milliseconds RelayedWatchWait{12'000};
+/// How often such a gateway checks that others still hear the store.
+constexpr milliseconds RoleCheckEvery{200};
 /// Servers write their entries all the time: changes are taken in together. A
 /// server that leaves serves for two seconds and longer.
 constexpr milliseconds GatherTime{400};
@@ -112,13 +120,38 @@
   world.Servers.replaceAll(now, servers);
 }
 
+milliseconds watchWait(milliseconds configApply) {
+  const milliseconds wait(
+      static_cast<std::int64_t>(WatchPart * configApply.count()));
+  return std::clamp(wait, ShortestWatchWait, LongestWatchWait);
+}
+
+asio::awaitable<void> followsItself(const World &world) {
+  while (!world.WatchesList)
+    co_await sleepFor(RoleCheckEvery);
+}
+
+/// Waits for a change of the config. A long watch ends as soon as this gateway
+/// has to follow the store itself: its connection may be dead.
+Source::Answer<ConfigText> nextConfig(World &world, std::uint64_t revision) {
+  if (world.WatchesList) {
+    const milliseconds wait = watchWait(world.Settings.ConfigApply);
+    co_return co_await world.From.WatchConfig(revision, wait);
+  }
+  auto first = co_await (world.From.WatchConfig(revision, RelayedWatchWait) ||
+                         followsItself(world));
+  if (first.index() == 0)
+    co_return std::get<0>(std::move(first));
+  co_return base::Error{base::ErrorCode::NotFound, "config",
+                        "no other gateway hears the store"};
+}
+
 /// Follows changes from a revision until the watch fails, or until others do it
 /// for this gateway.
 asio::awaitable<base::Error> followConfig(World &world, StoreHealth &health,
                                           std::uint64_t revision) {
   for (;;) {
-    const milliseconds wait = world.WatchesList ? WatchWait : RelayedWatchWait;
-    auto news = co_await world.From.WatchConfig(revision, wait);
+    auto news = co_await nextConfig(world, revision);
     if (!ok(news))
       co_return error(news);
     health.answered();
--- a/src/gateway/world.h
+++ b/src/gateway/world.h
@@ -37,6 +37,8 @@
   RetryBudgetOptions Retries;
   /// How long a server that leaves as planned serves at least.
   base::milliseconds Drain{2'000};
+  /// A config is in force this long after the store has taken it.
+  base::milliseconds ConfigApply{2'000};
   /// How often servers renew their entries in the store.
   base::milliseconds Renewal = Directory::DefaultRenewal;
   /// From the order to stop until the process is killed.
--- a/test/store-session-test.cc
+++ b/test/store-session-test.cc
@@ -5,6 +5,7 @@
 #include "platform/source.h"
 #include "shell.h"
 
+#include "drumlanding/base/hash.h"
 #include "drumlanding/daemon/sleep.h"
 #include "drumlanding/gateway/datagrams.h"
 
@@ -29,6 +30,9 @@
 /// left gets no requests, after this time.
 constexpr milliseconds ConfigBound{2'000};
 constexpr milliseconds DrainBound{2'000};
+/// A gateway is in touch again this long after its connections have gone
+/// silent.
+constexpr milliseconds ContactBound{3'000};
 
 base::Endpoint freeEndpoint() {
   asio::io_context io;
@@ -263,7 +267,7 @@
     settings.Zone = "a";
     settings.Listen = freeEndpoint();
     settings.ReadyListen = freeEndpoint();
-    settings.ControlListen = freeEndpoint();
+    settings.ControlListen = ControlAt;
     settings.Seeds = std::move(seeds);
     settings.Retries = {0.2, 50, seconds(10)};
     auto shell = Shell::start(Io, Clock, settings, platform::makeDialect(),
@@ -271,7 +275,6 @@
     ASSERT_TRUE(ok(shell)) << describe(error(shell));
     Gateway = std::move(value(shell));
     At = settings.Listen;
-    ControlAt = settings.ControlListen;
   }
 
   template <typename Body> void runTest(Body body) {
@@ -319,7 +322,7 @@
   platform::Store Client{Store.Address};
   std::unique_ptr<Shell> Gateway;
   base::Endpoint At;
-  base::Endpoint ControlAt;
+  base::Endpoint ControlAt = freeEndpoint();
 };
 
 /// Guards against a gateway that goes on with an old config because its open
@@ -364,5 +367,35 @@
   });
 }
 
+/// Guards against a gateway whose long watch outlives the gateways that it
+/// relied on (issue 17, CONFIG).
+TEST_F(StoreSessionTest, ALongWatchEndsWhenNoOtherGatewayHearsTheStore) {
+  // Two others with a lower rank follow the store for this one.
+  std::vector<std::unique_ptr<PeerStandIn>> others;
+  const std::uint64_t own = base::hash64(base::toString(ControlAt));
+  while (others.size() < 2) {
+    auto peer = std::make_unique<PeerStandIn>(
+        Io, std::vector<const CountingServer *>{&One, &Two});
+    if (base::hash64(base::toString(peer->Address)) < own)
+      others.push_back(std::move(peer));
+  }
+  startGateway({others[0]->Address, others[1]->Address});
+  runTest([&]() -> asio::awaitable<void> {
+    constexpr milliseconds TellEvery{100};
+    constexpr seconds Calm{2};
+    for (milliseconds t{0}; t < Calm; t += TellEvery) {
+      for (const auto &peer : others)
+        peer->tell(ControlAt, "");
+      co_await sleepFor(TellEvery);
+    }
+    EXPECT_FALSE(Gateway->world().WatchesList);
+    Store.silenceOpenConnections();
+    Store.put("op/config", config(2, {"/old/", "/new/"}));
+    co_await sleepFor(ContactBound);
+    const int status = co_await statusOf("/new/x");
+    EXPECT_EQ(status, 200);
+  });
+}
+
 } // namespace
 } // namespace drumlanding::gateway
