One entry that cannot be read hides no other

One entry of another writer (fields missing or of another type, an unknown state, bytes that are no JSON) made every read of the list an error: no new server, no leaving one, the session shown as lost, and since then every absent server kept. An entry with an unknown state counted as ready, one without slots as one slot.

Now an entry that names no usable server is passed over, logged once (entry-unusable), and a known server whose entry becomes such leaves. All fields that a server writes must be there and of their type.

AnEntryThatCannotBeReadHidesNoOther hung before (no list was ever taken) and passes; ServerList.EntriesOfOtherWritersAreRefused checks each field. The sample of EntriesAreRead and two stand-ins wrote entries without version and seq, or a version of another type; they now write what the platform's page says.

--- a/include/drumlanding/gateway/source.h
+++ b/include/drumlanding/gateway/source.h
@@ -25,10 +25,12 @@
   std::string Text;
 };
 
-/// A server's new entry, or none when it is gone.
+/// A server's new entry, or none when it is gone or names no usable server.
 struct ServerChange {
   std::string Id;
   std::optional<ListedServer> Listed;
+  /// Why the entry names no usable server; empty when it is gone.
+  std::string Problem = {};
 };
 
 struct ServerChanges {
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -238,7 +238,8 @@
   const base::Duration silence = at - StoreHeardAt;
   const bool isFirst = StoreHeardAt == base::Instant{};
   StoreHeardAt = at;
-  if (silence < LapseTime)
+  // Without known servers there is nothing that could have lapsed.
+  if (silence < LapseTime || Servers.empty())
     return;
   GraceUntil = at + GraceAfterReturn;
   if (!isFirst && OnOutageOver)
--- a/src/gateway/store-watch.cc
+++ b/src/gateway/store-watch.cc
@@ -90,11 +90,23 @@
   world.Servers.heardStore(now);
 }
 
+/// Logs an entry that names no usable server, once.
+void noteEntry(World &world, const ServerChange &change) {
+  if (change.Problem.empty()) {
+    world.BadEntries.erase(change.Id);
+    return;
+  }
+  if (world.BadEntries.insert(change.Id).second)
+    world.Log.write("entry-unusable",
+                    {{"server", change.Id}, {"why", change.Problem}});
+}
+
 void apply(World &world, const ServerChanges &changes) {
   const base::Instant now = world.now();
   noteListHeard(world, now);
   const std::uint64_t before = world.Servers.digest();
   for (const ServerChange &change : changes.Changes) {
+    noteEntry(world, change);
     // Servers write their entries all the time: few writes change anything.
     const bool isNews = change.Listed
                             ? !world.Servers.isListedAs(*change.Listed)
@@ -112,9 +124,12 @@
 
 void applyAll(World &world, const ServerChanges &list) {
   std::vector<ListedServer> servers;
-  for (const ServerChange &change : list.Changes)
+  world.BadEntries.clear();
+  for (const ServerChange &change : list.Changes) {
+    noteEntry(world, change);
     if (change.Listed)
       servers.push_back(*change.Listed);
+  }
   const base::Instant now = world.now();
   noteListHeard(world, now);
   world.Servers.replaceAll(now, servers);
--- a/src/gateway/world.h
+++ b/src/gateway/world.h
@@ -15,6 +15,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace drumlanding::gateway {
@@ -87,6 +88,8 @@
   bool WatchesList = true;
   /// Changes of the list heard from the store and not yet told to the others.
   std::vector<ServerChange> ListNews;
+  /// Entries of the list that name no usable server and were logged.
+  std::set<std::string, std::less<>> BadEntries;
   bool IsLeaving = false;
   /// When the process was told to stop.
   base::Instant LeavingSince{};
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -3,6 +3,7 @@
 #include "platform/source.h"
 
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 
 namespace drumlanding::platform {
 namespace {
@@ -238,7 +239,8 @@
 TEST(ServerList, EntriesAreRead) {
   const auto read = decodeServer(
       "servers/i-7", R"({"backend":"llm","address":"10.1.2.3:80","zone":"a",
-                         "slots":64,"state":"draining","coldLeftMs":250})");
+                         "slots":64,"state":"draining","coldLeftMs":250,
+                         "version":"v1","seq":4})");
   ASSERT_TRUE(ok(read));
   const gateway::ListedServer &s = base::value(read);
   EXPECT_EQ(s.Id, "i-7");
@@ -251,5 +253,42 @@
       decodeServer("servers/i-7", R"({"backend":"llm","address":"name:80"})")));
 }
 
+/// Entries of other writers name no server to use.
+TEST(ServerList, EntriesOfOtherWritersAreRefused) {
+  const nlohmann::json whole{{"backend", "llm"},  {"address", "10.1.2.3:80"},
+                             {"zone", "a"},       {"version", "v1"},
+                             {"slots", 64},       {"state", "ready"},
+                             {"coldLeftMs", 0.5}, {"seq", 4}};
+  const auto isRead = [](const nlohmann::json &json) {
+    return ok(decodeServer("servers/i-7", json.dump()));
+  };
+  EXPECT_TRUE(isRead(whole));
+  for (const auto &[name, value] : whole.items()) {
+    nlohmann::json other = whole;
+    other.erase(name);
+    EXPECT_FALSE(isRead(other)) << "without " << name;
+    for (const nlohmann::json &wrong :
+         {nlohmann::json(nullptr), nlohmann::json::array({1}),
+          nlohmann::json::object(), nlohmann::json(true)}) {
+      other[name] = wrong;
+      EXPECT_FALSE(isRead(other)) << name << " is " << wrong;
+    }
+  }
+  for (const auto &[name, value] :
+       {std::pair<const char *, nlohmann::json>{"state", "asleep"},
+        {"slots", 0},
+        {"slots", 2.5},
+        {"slots", 1e300},
+        {"slots", "64"},
+        {"coldLeftMs", -1},
+        {"address", "10.1.2.3"}}) {
+    nlohmann::json other = whole;
+    other[name] = value;
+    EXPECT_FALSE(isRead(other)) << name << " is " << value;
+  }
+  EXPECT_FALSE(ok(decodeServer("servers/i-7", "\xff\x00{")));
+  EXPECT_FALSE(ok(decodeServer("servers/i-7", "")));
+}
+
 } // namespace
 } // namespace drumlanding::platform
--- a/test/soak/workers.cc
+++ b/test/soak/workers.cc
@@ -80,7 +80,7 @@
   const Json entry{{"backend", At.Service},
                    {"address", base::toString(At.Public)},
                    {"zone", At.Zone},
-                   {"version", 1},
+                   {"version", "v1"},
                    {"slots", 8},
                    {"state", IsLeaving ? "draining" : "ready"},
                    {"coldLeftMs", 0},
--- a/test/store-session-test.cc
+++ b/test/store-session-test.cc
@@ -12,6 +12,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <cstring>
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 
@@ -159,7 +160,7 @@
     return {{"backend", "shop"}, {"address", base::toString(Address)},
             {"zone", "a"},       {"slots", 6},
             {"state", "ready"},  {"coldLeftMs", 0},
-            {"seq", 1},          {"version", 1}};
+            {"seq", 1},          {"version", "v1"}};
   }
 
   std::string Id;
@@ -367,6 +368,26 @@
   });
 }
 
+/// Guards against one entry of another writer that hides all others: no list
+/// was taken as long as it stood there.
+TEST_F(StoreSessionTest, AnEntryThatCannotBeReadHidesNoOther) {
+  for (const char *bytes : {"", "\xff\xfe", "[]", R"({"backend":3})"})
+    Store.put("servers/x" + std::to_string(std::strlen(bytes)), bytes);
+  startGateway();
+  runTest([&]() -> asio::awaitable<void> {
+    co_await call(4);
+    EXPECT_EQ(One.Requests + Two.Requests, 4);
+    // One that was usable turns unreadable: it names no server any more.
+    Store.put("servers/s1", "?");
+    co_await sleepFor(DrainBound);
+    One.Requests = 0;
+    Two.Requests = 0;
+    co_await call(4);
+    EXPECT_EQ(One.Requests, 0);
+    EXPECT_EQ(Two.Requests, 4);
+  });
+}
+
 /// Guards against a gateway whose long watch outlives the gateways that it
 /// relied on (issue 17, CONFIG).
 TEST_F(StoreSessionTest, ALongWatchEndsWhenNoOtherGatewayHearsTheStore) {
