Order what gateways know of servers by the store's revision

Cause: information was taken by order of arrival, and time windows stood in for its age. The store numbers its changes. Entries, removals and whole lists now carry that revision between gateways, a later one wins, and AbsenceTime and takesOthersChanges are gone. A list also names what has gone, so that one who is behind on revisions cannot bring a server back.

--- a/include/drumlanding/gateway/config.h
+++ b/include/drumlanding/gateway/config.h
@@ -101,7 +101,21 @@
   ServerState State = ServerState::Ready;
   /// How much longer it is slow after its start.
   base::milliseconds ColdLeft{0};
-  bool operator==(const ListedServer &) const = default;
+  /// The store's revision of this entry; 0 when unknown.
+  std::uint64_t Revision = 0;
+};
+
+/// An entry that the store no longer holds, as of a revision.
+struct GoneServer {
+  std::string Id;
+  std::uint64_t Revision = 0;
+};
+
+/// The list of servers as of a revision.
+struct ServerList {
+  std::uint64_t Revision = 0;
+  std::vector<ListedServer> Servers;
+  std::vector<GoneServer> Gone;
 };
 
 } // namespace drumlanding::gateway
--- a/include/drumlanding/gateway/directory.h
+++ b/include/drumlanding/gateway/directory.h
@@ -49,7 +49,8 @@
   bool IsListed = false;
   /// The list lost it, perhaps only because the store was away.
   bool IsMissing = false;
-  base::Instant MissingSince{};
+  /// The store's revision at which it was listed or went, as far as is known.
+  std::uint64_t Revision = 0;
   /// It is taken to be leaving only because the list lost it: a new entry of
   /// its own shows that it is not.
   bool IsLeavingByAbsence = false;
@@ -120,26 +121,22 @@
   /// Called when the store is heard again after an outage, with its length.
   std::function<void(base::Duration)> OnOutageOver;
 
-  /// After a list of another gateway, which may be a little older than what is
-  /// known here, a server must be absent for this long to be leaving.
-  static constexpr base::milliseconds AbsenceTime{1'000};
-
-  /// Changes of the list that another gateway has heard from the store.
-  void takePeerChanges(base::Instant now, const std::vector<ListedServer> &put,
-                       const std::vector<std::string> &gone);
-
   /// True when a listed server is known here as it is listed there.
   bool isListedAs(const ListedServer &listed) const;
 
-  /// The whole list as the store has it.
-  void replaceAll(base::Instant now, const std::vector<ListedServer> &servers);
-  /// The whole list as another gateway has it.
-  void takePeerList(base::Instant now,
-                    const std::vector<ListedServer> &servers);
+  /// True when the list holds the server, as far as is known here.
+  bool isListed(std::string_view id) const;
+
+  /// Takes the whole list: what is not in it has gone, unless it was listed by
+  /// a later revision.
+  void replaceAll(base::Instant now, const ServerList &list,
+                  Evidence evidence = Evidence::Store);
+  /// Takes an entry, unless a later revision of it is known.
   void put(base::Instant now, const ListedServer &server,
            Evidence evidence = Evidence::Store);
-  /// The list no longer holds the server.
-  void remove(base::Instant now, std::string_view id);
+  /// The list no longer holds the server, unless a later revision is known.
+  void remove(base::Instant now, const GoneServer &gone,
+              Evidence evidence = Evidence::Store);
   /// The server itself, or another gateway, says that it is leaving.
   void markLeaving(base::Instant now, std::string_view id);
   /// The process beside a server tells of it: who it is, perhaps before the
@@ -168,8 +165,8 @@
   /// are avoided for failing, returns them all the same.
   std::vector<const Server *> usable(base::Instant now,
                                      std::string_view service) const;
-  /// The list as it was told, for other gateways.
-  std::vector<ListedServer> list() const;
+  /// The list as it was told, with what has gone, for other gateways.
+  ServerList list() const;
   /// The servers that have lately become known to be leaving, not by absence
   /// alone, for other gateways.
   std::vector<std::string> leaving(base::Instant now) const;
@@ -180,10 +177,7 @@
 private:
   void leave(base::Instant now, Server &server, Evidence evidence);
   void leaveByAbsence(base::Instant now, Server &server, Evidence evidence);
-  void miss(base::Instant now, Server &server, Evidence evidence);
-  std::vector<std::string> putAll(base::Instant now,
-                                  const std::vector<ListedServer> &servers,
-                                  Evidence evidence);
+  void miss(Server &server, Evidence evidence);
   void replaceOthersAt(base::Instant now, const ListedServer &seen);
   void changed(std::string_view event, Evidence evidence,
                const Server &server) const;
--- a/include/drumlanding/gateway/peers.h
+++ b/include/drumlanding/gateway/peers.h
@@ -45,11 +45,6 @@
 /// news of the store come several times a second.
 inline constexpr base::milliseconds ListIsOld{1'500};
 
-/// True when changes of the list that another gateway tells are to be taken:
-/// not while this gateway hears the store itself, since theirs may be older.
-bool takesOthersChanges(base::Instant now, bool watchesList,
-                        base::Instant heardAt);
-
 class Peers {
 public:
   Peers(base::Instant now, PeersOptions options);
--- a/include/drumlanding/gateway/source.h
+++ b/include/drumlanding/gateway/source.h
@@ -31,6 +31,8 @@
   std::optional<ListedServer> Listed;
   /// Why the entry names no usable server; empty when it is gone.
   std::string Problem = {};
+  /// The store's revision of the change.
+  std::uint64_t Revision = 0;
 };
 
 struct ServerChanges {
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -34,6 +34,11 @@
   return std::min(FirstAvoidTime * (1 << doublings), MostAvoidTime);
 }
 
+/// True when a later revision of the server is known.
+bool isOlder(std::uint64_t revision, const Server &server) {
+  return revision != 0 && revision < server.Revision;
+}
+
 } // namespace
 
 int strikesOf(const Server &server, base::Instant now) {
@@ -83,24 +88,26 @@
   server.IsLeavingByAbsence = true;
 }
 
-void Directory::miss(base::Instant now, Server &server, Evidence evidence) {
+void Directory::miss(Server &server, Evidence evidence) {
   if (server.IsMissing)
     return;
   IsDigestKnown = false;
   server.IsMissing = true;
-  server.MissingSince = now;
   changed("server-missing", evidence, server);
 }
 
 void Directory::put(base::Instant now, const ListedServer &listed,
                     Evidence evidence) {
+  const auto it = Servers.find(listed.Id);
+  if (it != Servers.end() && isOlder(listed.Revision, it->second))
+    return;
   if (!isListedAs(listed))
     IsDigestKnown = false;
-  const auto it = Servers.find(listed.Id);
   if (it == Servers.end()) {
     const auto added = Servers.emplace(listed.Id, Server{listed}).first;
     added->second.IsListed = true;
     added->second.ColdUntil = now + listed.ColdLeft;
+    added->second.Revision = listed.Revision;
     changed("server-listed", evidence, added->second);
     if (OnUnsure)
       OnUnsure(added->second);
@@ -119,6 +126,7 @@
     changed("server-back", evidence, server);
   }
   server.Listed = listed;
+  server.Revision = listed.Revision;
   server.ColdUntil = now + listed.ColdLeft;
   if (listed.State == ServerState::Leaving)
     leave(now, server, evidence);
@@ -128,58 +136,45 @@
   return now < GraceUntil || now - StoreHeardAt >= LapseTime;
 }
 
-void Directory::remove(base::Instant now, std::string_view id) {
-  const auto it = Servers.find(id);
-  if (it == Servers.end())
+void Directory::remove(base::Instant now, const GoneServer &gone,
+                       Evidence evidence) {
+  const auto it = Servers.find(gone.Id);
+  if (it == Servers.end() || isOlder(gone.Revision, it->second))
     return;
-  miss(now, it->second, Evidence::Store);
+  it->second.Revision = gone.Revision;
+  miss(it->second, evidence);
   if (!mayHaveLapsed(now))
-    leaveByAbsence(now, it->second, Evidence::Store);
+    leaveByAbsence(now, it->second, evidence);
 }
 
-/// Puts each server and returns those that are known and not among them.
-std::vector<std::string>
-Directory::putAll(base::Instant now, const std::vector<ListedServer> &servers,
-                  Evidence evidence) {
+void Directory::replaceAll(base::Instant now, const ServerList &list,
+                           Evidence evidence) {
   std::set<std::string_view> ids;
-  for (const ListedServer &listed : servers) {
+  for (const ListedServer &listed : list.Servers) {
     ids.insert(listed.Id);
     put(now, listed, evidence);
   }
-  std::vector<std::string> missing;
+  for (const GoneServer &gone : list.Gone) {
+    ids.insert(gone.Id);
+    remove(now, gone, evidence);
+  }
+  std::vector<GoneServer> absent;
   // One that was only met is not yet expected in the list.
   for (const auto &[id, server] : Servers)
     if (server.IsListed && !ids.contains(id))
-      missing.push_back(id);
-  return missing;
-}
-
-void Directory::replaceAll(base::Instant now,
-                           const std::vector<ListedServer> &servers) {
-  for (const std::string &id : putAll(now, servers, Evidence::Store))
-    remove(now, id);
+      absent.push_back({id, list.Revision});
+  for (const GoneServer &gone : absent)
+    remove(now, gone, evidence);
 }
 
-void Directory::takePeerList(base::Instant now,
-                             const std::vector<ListedServer> &servers) {
-  for (const std::string &id : putAll(now, servers, Evidence::Gateway))
-    miss(now, Servers.find(id)->second, Evidence::Gateway);
-}
-
-void Directory::takePeerChanges(base::Instant now,
-                                const std::vector<ListedServer> &put,
-                                const std::vector<std::string> &gone) {
-  for (const ListedServer &listed : put)
-    this->put(now, listed, Evidence::Gateway);
-  for (const std::string &id : gone)
-    if (const auto it = Servers.find(id); it != Servers.end())
-      miss(now, it->second, Evidence::Gateway);
+bool Directory::isListed(std::string_view id) const {
+  const Server *known = find(id);
+  return known && known->IsListed && !known->IsMissing;
 }
 
 bool Directory::isListedAs(const ListedServer &listed) const {
   const Server *known = find(listed.Id);
-  return known && known->IsListed && !known->IsMissing &&
-         known->Listed.State == listed.State &&
+  return isListed(listed.Id) && known->Listed.State == listed.State &&
          known->Listed.Address == listed.Address;
 }
 
@@ -249,8 +244,7 @@
 void Directory::tick(base::Instant now) {
   for (auto it = Servers.begin(); it != Servers.end();) {
     Server &server = it->second;
-    if (server.IsMissing && !mayHaveLapsed(now) &&
-        now - server.MissingSince >= AbsenceTime)
+    if (server.IsMissing && !mayHaveLapsed(now))
       leaveByAbsence(now, server, Evidence::Absence);
     const bool isOver = server.IsLeaving && server.IsMissing &&
                         server.Open == 0 &&
@@ -344,14 +338,15 @@
   return well.empty() ? avoided : well;
 }
 
-std::vector<ListedServer> Directory::list() const {
-  std::vector<ListedServer> servers;
+ServerList Directory::list() const {
+  ServerList list;
   for (const auto &[id, server] : Servers) {
-    if (server.IsMissing || !server.IsListed)
-      continue;
-    servers.push_back(server.Listed);
+    if (server.IsMissing)
+      list.Gone.push_back({id, server.Revision});
+    else if (server.IsListed)
+      list.Servers.push_back(server.Listed);
   }
-  return servers;
+  return list;
 }
 
 std::vector<std::string> Directory::leaving(base::Instant now) const {
--- a/src/gateway/gossip-messages.cc
+++ b/src/gateway/gossip-messages.cc
@@ -39,16 +39,37 @@
   out.set_slots(static_cast<std::uint32_t>(server.Slots));
   out.set_is_leaving(server.State == ServerState::Leaving);
   out.set_cold_left_ms(static_cast<std::uint32_t>(server.ColdLeft.count()));
+  out.set_revision(server.Revision);
   return out;
 }
 
-wire::ServerList toWire(const std::vector<ListedServer> &servers,
-                        milliseconds age) {
-  wire::ServerList list;
-  list.set_age_ms(static_cast<std::uint64_t>(age.count()));
-  for (const ListedServer &server : servers)
-    *list.add_servers() = toWire(server);
-  return list;
+wire::GoneServer toWire(const GoneServer &gone) {
+  wire::GoneServer out;
+  out.set_id(gone.Id);
+  out.set_revision(gone.Revision);
+  return out;
+}
+
+wire::ServerList toWire(const ServerList &list, milliseconds age) {
+  wire::ServerList out;
+  out.set_age_ms(static_cast<std::uint64_t>(age.count()));
+  out.set_revision(list.Revision);
+  for (const ListedServer &server : list.Servers)
+    *out.add_servers() = toWire(server);
+  for (const GoneServer &gone : list.Gone)
+    *out.add_gone() = toWire(gone);
+  return out;
+}
+
+GoneServer fromWire(const wire::GoneServer &gone) {
+  return {gone.id(), gone.revision()};
+}
+
+ServerList fromWire(const wire::ServerList &list) {
+  ServerList out{list.revision(), fromWire(list.servers()), {}};
+  for (const wire::GoneServer &gone : list.gone())
+    out.Gone.push_back(fromWire(gone));
+  return out;
 }
 
 std::vector<ListedServer>
@@ -61,7 +82,7 @@
     out.push_back({s.id(), s.service(), value(address), s.zone(),
                    static_cast<int>(s.slots()),
                    s.is_leaving() ? ServerState::Leaving : ServerState::Ready,
-                   milliseconds(s.cold_left_ms())});
+                   milliseconds(s.cold_left_ms()), s.revision()});
   }
   return out;
 }
--- a/src/gateway/gossip-messages.h
+++ b/src/gateway/gossip-messages.h
@@ -19,8 +19,12 @@
 std::vector<ListedServer>
 fromWire(const google::protobuf::RepeatedPtrField<wire::Server> &servers);
 
-wire::ServerList toWire(const std::vector<ListedServer> &servers,
-                        base::milliseconds age);
+wire::GoneServer toWire(const GoneServer &gone);
+GoneServer fromWire(const wire::GoneServer &gone);
+
+wire::ServerList toWire(const ServerList &list, base::milliseconds age);
+ServerList fromWire(const wire::ServerList &list);
+
 /// Reads what the process beside an engine says; the notice's address may be
 /// missing, then the id is empty.
 ServerNotice fromWire(const wire::EngineNotice &notice);
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -139,7 +139,8 @@
     if (change.Listed)
       *message.add_changed_servers() = toWire(*change.Listed);
     else
-      message.add_gone_servers(change.Id);
+      *message.add_gone_servers() =
+          toWire(GoneServer{change.Id, change.Revision});
   }
 }
 
@@ -235,10 +236,10 @@
   // gateway's own path to it.
   if (message.watches_list())
     W.Servers.heardStore(now - milliseconds(message.list_age_ms()));
-  if (takesOthersChanges(now, W.WatchesList, W.ListHeardAt))
-    W.Servers.takePeerChanges(
-        now, fromWire(message.changed_servers()),
-        {message.gone_servers().begin(), message.gone_servers().end()});
+  for (const ListedServer &listed : fromWire(message.changed_servers()))
+    W.Servers.put(now, listed, Evidence::Gateway);
+  for (const wire::GoneServer &gone : message.gone_servers())
+    W.Servers.remove(now, fromWire(gone), Evidence::Gateway);
   hearList(now, message);
 }
 
@@ -290,7 +291,8 @@
   }
   const base::Instant now = W.now();
   const base::Instant listFrom = now - milliseconds(list.age_ms());
-  W.Servers.takePeerList(now, fromWire(list.servers()));
+  W.Servers.replaceAll(now, fromWire(list), Evidence::Gateway);
+  W.ListRevision = std::max<std::uint64_t>(W.ListRevision, list.revision());
   W.ListFrom = listFrom;
   W.Log.write("servers-from-peer", {{"peer", from.Name},
                                     {"servers", list.servers_size()},
@@ -305,7 +307,9 @@
     response = {Fine, "application/octet-stream", W.ConfigText, {}};
   } else if (request.path() == ServersPath) {
     const auto age = milliseconds(base::toMs(W.now() - W.ListFrom));
-    const wire::ServerList list = toWire(W.Servers.list(), age);
+    ServerList known = W.Servers.list();
+    known.Revision = W.ListRevision;
+    const wire::ServerList list = toWire(known, age);
     response = {Fine, "application/octet-stream", list.SerializeAsString(), {}};
   }
   co_await x.send(std::move(response));
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -28,11 +28,6 @@
 
 } // namespace
 
-bool takesOthersChanges(base::Instant now, bool watchesList,
-                        base::Instant heardAt) {
-  return !watchesList || now - heardAt > ListIsNewer;
-}
-
 Peers::Peers(base::Instant now, PeersOptions options)
     : Options(std::move(options)), StartedAt(now) {
   for (const base::Endpoint &seed : Options.Seeds)
--- a/src/gateway/store-watch.cc
+++ b/src/gateway/store-watch.cc
@@ -110,29 +110,31 @@
     // Servers write their entries all the time: few writes change anything.
     const bool isNews = change.Listed
                             ? !world.Servers.isListedAs(*change.Listed)
-                            : world.Servers.find(change.Id) != nullptr;
+                            : world.Servers.isListed(change.Id);
     if (isNews)
       world.ListNews.push_back(change);
     if (change.Listed)
       world.Servers.put(now, *change.Listed);
     else
-      world.Servers.remove(now, change.Id);
+      world.Servers.remove(now, {change.Id, change.Revision});
   }
+  world.ListRevision = std::max(world.ListRevision, changes.Revision);
   if (world.Servers.digest() != before && world.TellPeers)
     world.TellPeers();
 }
 
 void applyAll(World &world, const ServerChanges &list) {
-  std::vector<ListedServer> servers;
+  ServerList all{list.Revision, {}, {}};
   world.BadEntries.clear();
   for (const ServerChange &change : list.Changes) {
     noteEntry(world, change);
     if (change.Listed)
-      servers.push_back(*change.Listed);
+      all.Servers.push_back(*change.Listed);
   }
   const base::Instant now = world.now();
   noteListHeard(world, now);
-  world.Servers.replaceAll(now, servers);
+  world.Servers.replaceAll(now, all);
+  world.ListRevision = std::max(world.ListRevision, all.Revision);
 }
 
 milliseconds watchWait(milliseconds configApply) {
--- a/src/gateway/world.h
+++ b/src/gateway/world.h
@@ -81,6 +81,8 @@
   std::string ConfigText;
   /// When the list of servers was last heard from the store, by whomever.
   base::Instant ListFrom{};
+  /// The store's revision up to which every change of it is known here.
+  std::uint64_t ListRevision = 0;
   /// When this gateway itself last heard it from the store.
   base::Instant ListHeardAt{};
   /// This gateway is to follow the store's list itself, as it does until others
