Ask another gateway when one does not answer, and keep time meanwhile

A gateway that is behind asked the first gateway by address that knew more, again and again, one second each time; one that is heard by datagram but takes no connections kept it on its old config. The same loop evicts servers that were not listed again in time, so that waited too.

Questions now go to the gateway whose last failure is longest ago, and the clockwork has a loop of its own.

--- a/include/drumlanding/gateway/peers.h
+++ b/include/drumlanding/gateway/peers.h
@@ -10,6 +10,7 @@
 #include "drumlanding/base/settings.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -63,6 +64,10 @@
 
   std::vector<Peer> live(base::Instant now) const;
 
+  /// A gateway did not answer a question: those that failed longer ago are
+  /// asked first.
+  void failed(base::Instant now, const Peer &peer);
+
   /// Returns a gateway whose config is newer than `version`.
   std::optional<Peer> withNewerConfig(base::Instant now,
                                       std::uint64_t version) const;
@@ -86,9 +91,14 @@
     Peer Known;
     bool HasAnswered = false;
     base::Instant NextTry{};
+    /// When it last did not answer a question: others are asked first.
+    base::Instant FailedAt{};
     base::Instant AddedAt{};
   };
   void add(base::Instant now, const base::Endpoint &address);
+  std::optional<Peer>
+  firstWith(base::Instant now,
+            const std::function<bool(const Peer &)> &isNewer) const;
 
   PeersOptions Options;
   base::Instant StartedAt;
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -22,7 +22,8 @@
 constexpr milliseconds TellEvery{500};
 /// News go out together after this short time.
 constexpr milliseconds GatherNews{4};
-/// How often it is looked whether another gateway knows more.
+/// How often it is checked whether another gateway knows more, and whether
+/// something has become old.
 constexpr milliseconds CatchUpEvery{200};
 constexpr milliseconds FetchLimit{1'000};
 /// One message in so many carries the addresses of the live gateways.
@@ -61,6 +62,7 @@
   asio::co_spawn(world.Io, g.Socket->receive(take), asio::detached);
   world.Servers.OnUnsure = [&g](const Server &server) { g.askBeside(server); };
   asio::co_spawn(world.Io, g.tell(), asio::detached);
+  asio::co_spawn(world.Io, g.tick(), asio::detached);
   asio::co_spawn(world.Io, g.catchUp(), asio::detached);
   return gossip;
 }
@@ -252,14 +254,21 @@
   W.ListFrom = std::max(W.ListFrom, now - milliseconds(message.list_age_ms()));
 }
 
-asio::awaitable<void> Gossip::catchUp() {
+asio::awaitable<void> Gossip::tick() {
   for (;;) {
     co_await sleepFor(CatchUpEvery);
     const base::Instant now = W.now();
     W.Runs.tick(now);
     W.Servers.tick(now);
-    const std::uint64_t version = W.Routes ? W.Routes->config().Version : 0;
     W.WatchesList = W.Others.shouldWatchList(now);
+  }
+}
+
+asio::awaitable<void> Gossip::catchUp() {
+  for (;;) {
+    co_await sleepFor(CatchUpEvery);
+    const base::Instant now = W.now();
+    const std::uint64_t version = W.Routes ? W.Routes->config().Version : 0;
     if (const auto peer = W.Others.withNewerConfig(now, version))
       co_await fetchConfig(*peer);
     else if (const auto newer = W.Others.withNewerList(now, W.ListFrom))
@@ -267,12 +276,17 @@
   }
 }
 
+void Gossip::fetchFailed(const Peer &from, std::string_view what) {
+  W.Others.failed(W.now(), from);
+  W.Log.write("peer-fetch-failed", {{"peer", from.Name}, {"what", what}});
+}
+
 asio::awaitable<void> Gossip::fetchConfig(Peer from) {
   http::Request request{"GET", std::string(ConfigPath), {}, {}};
   http::Fetched fetched =
       co_await http::fetch(from.Address, std::move(request), FetchLimit);
   if (!ok(fetched.Answer) || value(fetched.Answer).Status != Fine) {
-    W.Log.write("peer-fetch-failed", {{"peer", from.Name}, {"what", "config"}});
+    fetchFailed(from, "config");
     co_return;
   }
   W.takeConfig(std::move(value(fetched.Answer).Body), from.Name);
@@ -285,8 +299,7 @@
   wire::ServerList list;
   if (!ok(fetched.Answer) || value(fetched.Answer).Status != Fine ||
       !list.ParseFromString(value(fetched.Answer).Body)) {
-    W.Log.write("peer-fetch-failed",
-                {{"peer", from.Name}, {"what", "servers"}});
+    fetchFailed(from, "servers");
     co_return;
   }
   const base::Instant now = W.now();
--- a/src/gateway/gossip.h
+++ b/src/gateway/gossip.h
@@ -38,7 +38,9 @@
   void askBeside(const Server &server);
   void takeNotice(const wire::Gossip &message, const Datagrams::Sender &from);
   void hearList(base::Instant now, const wire::Gossip &message);
+  asio::awaitable<void> tick();
   asio::awaitable<void> catchUp();
+  void fetchFailed(const Peer &from, std::string_view what);
   asio::awaitable<void> fetchConfig(Peer from);
   asio::awaitable<void> fetchServers(Peer from);
 
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -98,20 +98,39 @@
   return live;
 }
 
+void Peers::failed(base::Instant now, const Peer &peer) {
+  const auto it = Contacts.find(base::toString(peer.Address));
+  if (it != Contacts.end())
+    it->second.FailedAt = now;
+}
+
+std::optional<Peer>
+Peers::firstWith(base::Instant now,
+                 const std::function<bool(const Peer &)> &isNewer) const {
+  std::optional<Peer> first;
+  base::Instant firstFailedAt = base::Instant::max();
+  for (const Peer &peer : live(now)) {
+    const auto it = Contacts.find(base::toString(peer.Address));
+    const base::Instant failedAt = it->second.FailedAt;
+    if (!isNewer(peer) || failedAt >= firstFailedAt)
+      continue;
+    first = peer;
+    firstFailedAt = failedAt;
+  }
+  return first;
+}
+
 std::optional<Peer> Peers::withNewerConfig(base::Instant now,
                                            std::uint64_t version) const {
-  for (const Peer &peer : live(now))
-    if (peer.ConfigVersion > version)
-      return peer;
-  return std::nullopt;
+  return firstWith(
+      now, [&](const Peer &peer) { return peer.ConfigVersion > version; });
 }
 
 std::optional<Peer> Peers::withNewerList(base::Instant now,
                                          base::Instant ownListFrom) const {
-  for (const Peer &peer : live(now))
-    if (peer.ListFrom - ownListFrom > ListIsNewer)
-      return peer;
-  return std::nullopt;
+  return firstWith(now, [&](const Peer &peer) {
+    return peer.ListFrom - ownListFrom > ListIsNewer;
+  });
 }
 
 bool Peers::shouldWatchList(base::Instant now) const {
--- a/test/store-session-test.cc
+++ b/test/store-session-test.cc
@@ -188,8 +188,9 @@
     auto socket = Datagrams::open(io, Address);
     Socket = std::move(value(socket));
     auto made = http::Server::listen(
-        io, Address, {},
-        [this](http::Request, http::Exchange &x) { return serveList(x); });
+        io, Address, {}, [this](http::Request r, http::Exchange &x) {
+          return serve(std::move(r), x);
+        });
     Listener = std::move(value(made));
   }
 
@@ -200,6 +201,7 @@
     message.set_address(base::toString(Address));
     message.set_incarnation(1);
     message.set_watches_list(true);
+    message.set_config_version(ConfigVersion);
     if (!gone.empty())
       message.add_gone_servers()->set_id(gone);
     Socket->send(to, message.SerializeAsString());
@@ -207,8 +209,26 @@
 
   base::Endpoint Address;
   std::vector<const CountingServer *> Listed;
+  std::uint64_t ConfigVersion = 0;
+  std::string ConfigText;
+  /// Takes connections and answers nothing.
+  bool IsSilent = false;
 
 private:
+  asio::awaitable<void> serve(http::Request request, http::Exchange &x) {
+    if (IsSilent)
+      co_await sleepFor(TestLimit);
+    else if (request.path() == "/config")
+      co_await serveConfig(x);
+    else
+      co_await serveList(x);
+  }
+
+  asio::awaitable<void> serveConfig(http::Exchange &x) {
+    http::Response response{200, "application/octet-stream", ConfigText, {}};
+    co_await x.send(std::move(response));
+  }
+
   asio::awaitable<void> serveList(http::Exchange &x) {
     wire::ServerList list;
     for (const CountingServer *server : Listed) {
@@ -418,5 +438,37 @@
   });
 }
 
+/// Guards against a gateway that asks the same gateway for a config again and
+/// again though it does not answer and others would, and does nothing else
+/// meanwhile.
+TEST_F(StoreSessionTest, AConfigIsTakenFromAnotherGatewayThoughOneIsSilent) {
+  PeerStandIn one(Io, {&One, &Two});
+  PeerStandIn two(Io, {&One, &Two});
+  for (PeerStandIn *peer : {&one, &two})
+    peer->ConfigText = config(2, {"/old/", "/new/"});
+  startGateway({one.Address, two.Address});
+  runTest([&]() -> asio::awaitable<void> {
+    constexpr milliseconds TellEvery{100};
+    Store.IsCutOff = true;
+    for (PeerStandIn *silent : {&one, &two}) {
+      one.IsSilent = silent == &one;
+      two.IsSilent = silent == &two;
+      const int version = silent == &one ? 2 : 3;
+      const std::string path = "/new" + std::to_string(version);
+      for (PeerStandIn *peer : {&one, &two}) {
+        peer->ConfigVersion = static_cast<std::uint64_t>(version);
+        peer->ConfigText = config(version, {"/old/", path + "/"});
+      }
+      for (milliseconds t{0}; t < ConfigBound; t += TellEvery) {
+        one.tell(ControlAt, "");
+        two.tell(ControlAt, "");
+        co_await sleepFor(TellEvery);
+      }
+      const int status = co_await statusOf(path + "/x");
+      EXPECT_EQ(status, 200) << path;
+    }
+  });
+}
+
 } // namespace
 } // namespace drumlanding::gateway
