A server that starts again under its id is a new one

The directory took it for its earlier life: what had said that it leaves was never used again, its broken answers counted on, and another gateway's late word of the earlier life made the new one leave.

Entries and reports are read with born (a whole number where it stands), and gateways and sidecars tell it. A later life forgets what was known of the earlier one but for requests that are still open; news of an earlier life say nothing.

--- a/include/drumlanding/gateway/config.h
+++ b/include/drumlanding/gateway/config.h
@@ -92,8 +92,10 @@
 
 /// A backend server as it lists itself.
 struct ListedServer {
-  /// New at each start of the server.
   std::string Id;
+  /// When it started, as a Unix time; 0 when it does not say. A server that has
+  /// started again may have its old id.
+  base::milliseconds BornAt{0};
   std::string Service;
   base::Endpoint Address;
   std::string Zone;
--- a/include/drumlanding/gateway/dialect.h
+++ b/include/drumlanding/gateway/dialect.h
@@ -75,6 +75,8 @@
 struct ServerReport {
   bool IsLeaving = false;
   std::optional<base::milliseconds> LeavesIn;
+  /// When it started, as a Unix time; 0 when it does not say.
+  base::milliseconds BornAt{0};
   int Running = 0;
   int Waiting = 0;
   std::uint64_t UsedTokens = 0;
--- a/include/drumlanding/gateway/directory.h
+++ b/include/drumlanding/gateway/directory.h
@@ -84,6 +84,15 @@
   std::string Id;
   int Strikes = 0;
   base::milliseconds Left{0};
+  base::milliseconds BornAt{0};
+};
+
+/// One life of a server: it may start again under its id.
+struct ServerLife {
+  std::string Id;
+  /// When it started, as a Unix time; 0 when it does not say.
+  base::milliseconds BornAt{0};
+  bool operator==(const ServerLife &) const = default;
 };
 
 /// What the process beside a server says of it.
@@ -131,14 +140,15 @@
   /// a later revision.
   void replaceAll(base::Instant now, const ServerList &list,
                   Evidence evidence = Evidence::Store);
-  /// Takes an entry, unless a later revision of it is known.
+  /// Takes an entry, unless a later revision of it, or a later life of the
+  /// server, is known.
   void put(base::Instant now, const ListedServer &server,
            Evidence evidence = Evidence::Store);
   /// The list no longer holds the server, unless a later revision is known.
   void remove(base::Instant now, const GoneServer &gone,
               Evidence evidence = Evidence::Store);
   /// The server itself, or another gateway, says that it is leaving.
-  void markLeaving(base::Instant now, std::string_view id);
+  void markLeaving(base::Instant now, const ServerLife &life);
   /// The process beside a server tells of it: who it is, perhaps before the
   /// list knows, and that it is leaving.
   void hearNotice(base::Instant now, const ServerNotice &notice);
@@ -169,7 +179,7 @@
   ServerList list() const;
   /// The servers that have lately become known to be leaving, not by absence
   /// alone, for other gateways.
-  std::vector<std::string> leaving(base::Instant now) const;
+  std::vector<ServerLife> leaving(base::Instant now) const;
   /// A number that is the same when two gateways have been told the same list.
   std::uint64_t digest() const;
   bool isEmpty() const { return Servers.empty(); }
@@ -178,6 +188,7 @@
   void leave(base::Instant now, Server &server, Evidence evidence);
   void leaveByAbsence(base::Instant now, Server &server, Evidence evidence);
   void miss(Server &server, Evidence evidence);
+  void restart(Server &server, base::milliseconds bornAt, Evidence evidence);
   void replaceOthersAt(base::Instant now, const ListedServer &seen);
   void changed(std::string_view event, Evidence evidence,
                const Server &server) const;
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -39,6 +39,11 @@
   return revision != 0 && revision < server.Revision;
 }
 
+/// True when both lives are known and `a` ended before `b` began.
+bool isEarlierLife(base::milliseconds a, base::milliseconds b) {
+  return a.count() > 0 && b.count() > 0 && a < b;
+}
+
 } // namespace
 
 int strikesOf(const Server &server, base::Instant now) {
@@ -116,6 +121,10 @@
     return;
   }
   Server &server = it->second;
+  if (isEarlierLife(listed.BornAt, server.Listed.BornAt))
+    return;
+  if (isEarlierLife(server.Listed.BornAt, listed.BornAt))
+    restart(server, listed.BornAt, evidence);
   if (server.IsMissing)
     changed("server-listed-again", evidence, server);
   server.IsMissing = false;
@@ -132,6 +141,24 @@
     leave(now, server, evidence);
 }
 
+/// Forgets what was known of the server's life before; requests that are open
+/// there still have to end.
+void Directory::restart(Server &server, base::milliseconds bornAt,
+                        Evidence evidence) {
+  Server fresh{server.Listed};
+  fresh.Listed.BornAt = bornAt;
+  fresh.Listed.State = ServerState::Ready;
+  fresh.Revision = server.Revision;
+  fresh.IsListed = server.IsListed;
+  fresh.IsMissing = server.IsMissing;
+  fresh.Open = server.Open;
+  server = std::move(fresh);
+  IsDigestKnown = false;
+  changed("server-restarted", evidence, server);
+  if (OnUnsure)
+    OnUnsure(server);
+}
+
 bool Directory::mayHaveLapsed(base::Instant now) const {
   return now < GraceUntil || now - StoreHeardAt >= LapseTime;
 }
@@ -175,13 +202,18 @@
 bool Directory::isListedAs(const ListedServer &listed) const {
   const Server *known = find(listed.Id);
   return isListed(listed.Id) && known->Listed.State == listed.State &&
-         known->Listed.Address == listed.Address;
+         known->Listed.Address == listed.Address &&
+         known->Listed.BornAt == listed.BornAt;
 }
 
-void Directory::markLeaving(base::Instant now, std::string_view id) {
-  const auto it = Servers.find(id);
-  if (it != Servers.end())
-    leave(now, it->second, Evidence::Gateway);
+void Directory::markLeaving(base::Instant now, const ServerLife &life) {
+  const auto it = Servers.find(life.Id);
+  if (it == Servers.end() ||
+      isEarlierLife(life.BornAt, it->second.Listed.BornAt))
+    return;
+  if (isEarlierLife(it->second.Listed.BornAt, life.BornAt))
+    restart(it->second, life.BornAt, Evidence::Gateway);
+  leave(now, it->second, Evidence::Gateway);
 }
 
 /// Only one server can have an address: whoever else is listed there has ended.
@@ -206,8 +238,12 @@
     it = Servers.emplace(notice.Seen.Id, Server{notice.Seen}).first;
     changed("server-met", Evidence::Notice, it->second);
   }
-  replaceOthersAt(now, notice.Seen);
   Server &server = it->second;
+  if (isEarlierLife(notice.Seen.BornAt, server.Listed.BornAt))
+    return;
+  if (isEarlierLife(server.Listed.BornAt, notice.Seen.BornAt))
+    restart(server, notice.Seen.BornAt, Evidence::Notice);
+  replaceOthersAt(now, notice.Seen);
   if (!notice.IsLeaving)
     return;
   const bool isTimed = notice.LeavesIn.count() > 0;
@@ -284,7 +320,8 @@
 
 void Directory::hearAvoided(base::Instant now, const AvoidedServer &avoided) {
   const auto it = Servers.find(avoided.Id);
-  if (it == Servers.end() || avoided.Strikes <= strikesOf(it->second, now))
+  if (it == Servers.end() || avoided.Strikes <= strikesOf(it->second, now) ||
+      isEarlierLife(avoided.BornAt, it->second.Listed.BornAt))
     return;
   it->second.Strikes = avoided.Strikes;
   it->second.AvoidUntil = std::max(it->second.AvoidUntil,
@@ -298,7 +335,8 @@
     if (server.Strikes > 0 && server.AvoidUntil > now)
       avoided.push_back(
           {id, server.Strikes,
-           base::milliseconds(base::toMs(server.AvoidUntil - now))});
+           base::milliseconds(base::toMs(server.AvoidUntil - now)),
+           server.Listed.BornAt});
   return avoided;
 }
 
@@ -349,13 +387,13 @@
   return list;
 }
 
-std::vector<std::string> Directory::leaving(base::Instant now) const {
-  std::vector<std::string> ids;
+std::vector<ServerLife> Directory::leaving(base::Instant now) const {
+  std::vector<ServerLife> lives;
   for (const auto &[id, server] : Servers)
     if (server.IsLeaving && !server.IsLeavingByAbsence && !server.IsMissing &&
         now - server.LeavingSince < TellLeaving)
-      ids.push_back(id);
-  return ids;
+      lives.push_back({id, server.Listed.BornAt});
+  return lives;
 }
 
 std::uint64_t Directory::digest() const {
@@ -367,6 +405,8 @@
       continue;
     const bool isReady = server.Listed.State == ServerState::Ready;
     Digest = base::mix64(Digest, base::hash64(id, isReady ? 1 : 2));
+    Digest = base::mix64(
+        Digest, static_cast<std::uint64_t>(server.Listed.BornAt.count()));
   }
   IsDigestKnown = true;
   return Digest;
--- a/src/gateway/gossip-messages.cc
+++ b/src/gateway/gossip-messages.cc
@@ -40,6 +40,7 @@
   out.set_is_leaving(server.State == ServerState::Leaving);
   out.set_cold_left_ms(static_cast<std::uint32_t>(server.ColdLeft.count()));
   out.set_revision(server.Revision);
+  out.set_born_ms(static_cast<std::uint64_t>(server.BornAt.count()));
   return out;
 }
 
@@ -79,8 +80,8 @@
     const auto address = base::parseEndpoint("server", s.address());
     if (!ok(address))
       continue;
-    out.push_back({s.id(), s.service(), value(address), s.zone(),
-                   static_cast<int>(s.slots()),
+    out.push_back({s.id(), milliseconds(s.born_ms()), s.service(),
+                   value(address), s.zone(), static_cast<int>(s.slots()),
                    s.is_leaving() ? ServerState::Leaving : ServerState::Ready,
                    milliseconds(s.cold_left_ms()), s.revision()});
   }
@@ -93,6 +94,7 @@
   if (!ok(address))
     return out;
   out.Seen.Id = notice.server();
+  out.Seen.BornAt = milliseconds(notice.born_ms());
   out.Seen.Service = notice.service();
   out.Seen.Address = value(address);
   out.Seen.Zone = notice.zone();
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -120,13 +120,17 @@
   message.set_list_age_ms(static_cast<std::uint64_t>(base::toMs(now - from)));
   message.set_list_digest(W.Servers.digest());
   message.set_watches_list(W.hearsList());
-  for (std::string &id : W.Servers.leaving(now))
-    message.add_leaving_servers(std::move(id));
+  for (const ServerLife &life : W.Servers.leaving(now)) {
+    wire::ServerLife &out = *message.add_leaving_servers();
+    out.set_id(life.Id);
+    out.set_born_ms(static_cast<std::uint64_t>(life.BornAt.count()));
+  }
   for (const AvoidedServer &avoided : W.Servers.avoided(now)) {
     wire::Avoided &out = *message.add_avoided();
     out.set_server(avoided.Id);
     out.set_strikes(static_cast<std::uint32_t>(avoided.Strikes));
     out.set_left_ms(static_cast<std::uint64_t>(avoided.Left.count()));
+    out.set_born_ms(static_cast<std::uint64_t>(avoided.BornAt.count()));
   }
   return message;
 }
@@ -228,12 +232,13 @@
         {message.ended_runs().begin(), message.ended_runs().end()});
   else
     W.Runs.takePeer(now, message.address(), std::move(runs));
-  for (const std::string &id : message.leaving_servers())
-    W.Servers.markLeaving(now, id);
+  for (const wire::ServerLife &life : message.leaving_servers())
+    W.Servers.markLeaving(now, {life.id(), milliseconds(life.born_ms())});
   for (const wire::Avoided &avoided : message.avoided())
     W.Servers.hearAvoided(now, {avoided.server(),
                                 static_cast<int>(avoided.strikes()),
-                                milliseconds(avoided.left_ms())});
+                                milliseconds(avoided.left_ms()),
+                                milliseconds(avoided.born_ms())});
   // An outage of the store is one that nobody hears it in, not one of this
   // gateway's own path to it.
   if (message.watches_list())
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -172,6 +172,7 @@
   notice.set_service(Settings.Service);
   notice.set_zone(Settings.Zone);
   notice.set_is_leaving(Last.IsLeaving);
+  notice.set_born_ms(static_cast<std::uint64_t>(Last.BornAt.count()));
   if (Last.LeavesIn)
     notice.set_leaves_in_ms(static_cast<std::uint64_t>(Last.LeavesIn->count()));
   return message.SerializeAsString();
--- a/test/gateway-random-test.cc
+++ b/test/gateway-random-test.cc
@@ -53,6 +53,7 @@
   BeginRun,
   EndRun,
   StartServer,
+  StartAgain,
   LeaveServer,
   VanishServer,
   CrashServer,
@@ -75,9 +76,10 @@
 
 std::ostream &operator<<(std::ostream &out, const Action &a) {
   constexpr const char *Names[] = {
-      "request",   "begin run", "end run",    "start server",   "leave server",
-      "vanish",    "crash",     "store down", "store up",       "loss begins",
-      "loss ends", "cut off",   "cut ends",   "restart gateway"};
+      "request",     "begin run",    "end run",        "start server",
+      "start again", "leave server", "vanish",         "crash",
+      "store down",  "store up",     "loss begins",    "loss ends",
+      "cut off",     "cut ends",     "restart gateway"};
   return out << Names[static_cast<int>(a.Kind)] << " gateway=" << a.Gateway
              << " address=" << a.Address << " outcome=" << a.Outcome << " then "
              << a.WaitMs << " ms";
@@ -147,6 +149,7 @@
   base::Instant LeftAt{};
   /// The store's revision of its entry.
   std::uint64_t Revision = 0;
+  std::int64_t BornAt = 0;
 };
 
 class Model {
@@ -178,6 +181,10 @@
       if (!server.IsUp)
         startServer(a.Address);
       break;
+    case ActionKind::StartAgain:
+      // It crashes, and starts under its id.
+      startServer(a.Address, server.Id);
+      break;
     case ActionKind::LeaveServer:
       server.IsLeaving = server.IsUp;
       markLeft(server);
@@ -234,10 +241,12 @@
   std::string Wrong;
 
 private:
-  void startServer(int address) {
+  void startServer(int address, std::string id = "") {
     RealServer &server = Real[address];
     server = {};
-    server.Id = "s" + std::to_string(++LastServer);
+    ++LastServer;
+    server.Id = id.empty() ? "s" + std::to_string(LastServer) : std::move(id);
+    server.BornAt = LastServer;
     server.IsUp = true;
     server.IsListed = true;
     server.Revision = ++StoreRevision;
@@ -276,6 +285,7 @@
     l.Zone = address % 2 == 0 ? "a" : "b";
     l.State = server.IsLeaving ? ServerState::Leaving : ServerState::Ready;
     l.Revision = server.Revision;
+    l.BornAt = milliseconds(server.BornAt);
     return l;
   }
 
@@ -475,8 +485,11 @@
     message.set_watches_list(hears);
     message.set_list_age_ms(static_cast<std::uint64_t>(
         base::toMs(Now - (hears ? core.ListHeardAt : core.ListFrom))));
-    for (std::string &id : core.Servers.leaving(Now))
-      message.add_leaving_servers(std::move(id));
+    for (const ServerLife &life : core.Servers.leaving(Now)) {
+      wire::ServerLife &out = *message.add_leaving_servers();
+      out.set_id(life.Id);
+      out.set_born_ms(static_cast<std::uint64_t>(life.BornAt.count()));
+    }
     const std::vector<LedgerRun> runs = core.Runs.ownRuns();
     const RunNews news = core.Told.newsOf(runs);
     const bool isWhole = Ticks % (WholeEvery / Tick) == 0;
@@ -521,8 +534,8 @@
           {message.ended_runs().begin(), message.ended_runs().end()});
     else
       core.Runs.takePeer(Now, message.address(), std::move(runs));
-    for (const std::string &id : message.leaving_servers())
-      core.Servers.markLeaving(Now, id);
+    for (const wire::ServerLife &life : message.leaving_servers())
+      core.Servers.markLeaving(Now, {life.id(), milliseconds(life.born_ms())});
     if (message.watches_list())
       core.Servers.heardStore(Now - milliseconds(message.list_age_ms()));
     for (const ListedServer &listed : fromWire(message.changed_servers()))
@@ -603,6 +616,7 @@
                                             {2, ActionKind::EndRun},
                                             {3, ActionKind::StartServer},
                                             {2, ActionKind::LeaveServer},
+                                            {1, ActionKind::StartAgain},
                                             {1, ActionKind::VanishServer},
                                             {2, ActionKind::CrashServer},
                                             {1, ActionKind::StoreDown},
--- a/test/gateway-test.cc
+++ b/test/gateway-test.cc
@@ -134,7 +134,7 @@
   d.remove(Start + seconds(9), {"s1"});
   EXPECT_TRUE(d.usable(Start + seconds(9), "llm").empty());
   EXPECT_EQ(told, 1);
-  d.markLeaving(Start + seconds(10), "s1");
+  d.markLeaving(Start + seconds(10), {"s1"});
   EXPECT_EQ(told, 1);
 }
 
@@ -264,10 +264,59 @@
   d.put(Start + seconds(1), s);
   EXPECT_TRUE(d.usable(Start + seconds(1), "llm").empty());
   // Other gateways are told apart from the list.
-  EXPECT_EQ(d.leaving(Start), std::vector<std::string>{"s1"});
+  EXPECT_EQ(d.leaving(Start), std::vector<ServerLife>{{"s1"}});
   EXPECT_TRUE(d.leaving(Start + seconds(6)).empty());
 }
 
+ListedServer bornAt(std::int64_t ms, ServerState state = ServerState::Ready) {
+  ListedServer listed = server("s1");
+  listed.BornAt = milliseconds(ms);
+  listed.State = state;
+  return listed;
+}
+
+/// A server that starts again under its id would never be used again, since its
+/// earlier life said that it leaves.
+TEST(Directory, AServerThatStartsAgainUnderItsIdIsNew) {
+  Directory d;
+  d.put(Start, bornAt(1'000, ServerState::Leaving));
+  d.note(Start, "s1", ServerOutcome::Broken);
+  d.opened("s1");
+  EXPECT_TRUE(d.usable(Start, "llm").empty());
+  const std::uint64_t before = d.digest();
+  EXPECT_FALSE(d.isListedAs(bornAt(2'000)));
+  d.put(Start, bornAt(2'000));
+  ASSERT_EQ(d.usable(Start, "llm").size(), 1U);
+  EXPECT_NE(d.digest(), before);
+  EXPECT_TRUE(d.avoided(Start).empty());
+  EXPECT_EQ(d.find("s1")->Open, 1);
+  // It can leave again.
+  int left = 0;
+  d.OnLeaving = [&](const Server &) { ++left; };
+  d.put(Start, bornAt(2'000, ServerState::Leaving));
+  EXPECT_EQ(left, 1);
+}
+
+TEST(Directory, NewsOfAnEarlierLifeOfAServerSayNothing) {
+  Directory d;
+  d.put(Start, bornAt(2'000));
+  d.put(Start, bornAt(1'000, ServerState::Leaving));
+  d.markLeaving(Start, {"s1", milliseconds(1'000)});
+  ServerNotice earlier{bornAt(1'000), true, milliseconds(500)};
+  d.hearNotice(Start, earlier);
+  d.hearAvoided(Start, {"s1", 3, seconds(1), milliseconds(1'000)});
+  EXPECT_EQ(d.usable(Start, "llm").size(), 1U);
+  EXPECT_TRUE(d.avoided(Start).empty());
+  EXPECT_EQ(d.find("s1")->Listed.BornAt, milliseconds(2'000));
+  // A later life may be heard of from the process beside it first.
+  ServerNotice later{bornAt(3'000), true, milliseconds(500)};
+  d.hearNotice(Start, later);
+  EXPECT_TRUE(d.usable(Start, "llm").empty());
+  EXPECT_EQ(d.find("s1")->GoneAt, Start + milliseconds(500));
+  d.put(Start, bornAt(2'000));
+  EXPECT_TRUE(d.usable(Start, "llm").empty());
+}
+
 ServerNotice notice(std::string id, std::uint16_t port) {
   ServerNotice n;
   n.Seen = server(std::move(id), "llm", "a", port);
@@ -289,7 +338,7 @@
   // A repeated notice does not put it off.
   d.hearNotice(Start + seconds(1), n);
   EXPECT_EQ(d.find("s2")->GoneAt, Start + milliseconds(1'700));
-  EXPECT_EQ(d.leaving(Start + seconds(1)), std::vector<std::string>{"s2"});
+  EXPECT_EQ(d.leaving(Start + seconds(1)), std::vector<ServerLife>{{"s2"}});
   // What was told does not change what the list says.
   EXPECT_EQ(d.list().Servers[1].State, ServerState::Ready);
 }
@@ -386,7 +435,7 @@
   }
   EXPECT_EQ(a.digest(), b.digest());
   // What a gateway knows besides does not change what it was told.
-  a.markLeaving(Start, "s1");
+  a.markLeaving(Start, {"s1"});
   a.hearNotice(Start, notice("s9", 9));
   EXPECT_EQ(a.digest(), b.digest());
   b.put(Start, server("s1", "llm", "a"));
@@ -741,7 +790,7 @@
 TEST_F(PlacementTest, NeverChoosesLeavingOrTriedServers) {
   Servers.put(Start, server("s1"));
   Servers.put(Start, server("s2"));
-  Servers.markLeaving(Start, "s1");
+  Servers.markLeaving(Start, {"s1"});
   const std::vector<std::string> tried{"s2"};
   EXPECT_EQ(Placing.forGeneration(Start, Llm, {1, 1}, tried).Chosen, nullptr);
   base::Random random(1);
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -184,8 +184,13 @@
   ASSERT_TRUE(ok(report));
   EXPECT_FALSE(base::value(report).IsLeaving);
   EXPECT_FALSE(base::value(report).LeavesIn);
+  EXPECT_EQ(base::value(report).BornAt, milliseconds(0));
+  report = read(R"({"state":"ready","born":1777897410029})");
+  ASSERT_TRUE(ok(report));
+  EXPECT_EQ(base::value(report).BornAt.count(), 1'777'897'410'029);
   EXPECT_FALSE(ok(read("nonsense")));
   EXPECT_FALSE(ok(read(R"({"running":"many"})")));
+  EXPECT_FALSE(ok(read(R"({"state":"ready","born":"yesterday"})")));
 }
 
 constexpr std::string_view SampleConfig = R"({"version":7,"routes":[
@@ -263,6 +268,15 @@
     return ok(decodeServer("servers/i-7", json.dump()));
   };
   EXPECT_TRUE(isRead(whole));
+  nlohmann::json born = whole;
+  for (const auto &[value, isRight] :
+       {std::pair<nlohmann::json, bool>{1'777'897'410'029, true},
+        {1.5, false},
+        {-1, false},
+        {"1", false}}) {
+    born["born"] = value;
+    EXPECT_EQ(isRead(born), isRight) << "born " << value;
+  }
   for (const auto &[name, value] : whole.items()) {
     nlohmann::json other = whole;
     other.erase(name);
--- a/test/sidecar-test.cc
+++ b/test/sidecar-test.cc
@@ -62,8 +62,9 @@
     }
     http::Response response{200, "application/json", "", {}};
     response.Headers.push_back({"X-Instance-Id", Id});
-    response.Body = IsLeaving ? R"({"state":"draining","leaves_ms":1500})"
-                              : R"({"state":"ready"})";
+    response.Body = IsLeaving
+                        ? R"({"state":"draining","leaves_ms":1500,"born":7})"
+                        : R"({"state":"ready","born":7})";
     co_await x.send(std::move(response));
   }
 
@@ -106,6 +107,7 @@
   IsLeaving = true;
   EXPECT_TRUE(holdsInTime([&] { return hasHeard("first", true); }));
   EXPECT_EQ(Heard.back().leaves_in_ms(), 1'500U);
+  EXPECT_EQ(Heard.back().born_ms(), 7U);
 }
 
 TEST_F(SidecarTest, AnswersAGatewayThatAsks) {
