Begin the grace with the store's earliest return, and not at all after an isolation

A server that had left while the store was stable was used 3.4 s after its return; a gateway is bound after 3 s. A gateway that had been isolated kept servers likewise, though the others knew of no outage.

Whoever reads the list now says since when it knows of no outage: since its last call that got no answer began, after a failure. The grace is 2.7 s from there, and ends as soon as another gateway has heard the store all along (steady_ms between gateways).

--- a/include/drumlanding/gateway/directory.h
+++ b/include/drumlanding/gateway/directory.h
@@ -106,9 +106,10 @@
 
 class Directory {
 public:
-  /// After the store's return, lapsed entries have this long to come back: the
-  /// servers write theirs again within two seconds.
-  static constexpr base::milliseconds GraceAfterReturn{2'300};
+  /// After the earliest time at which the store can have returned, lapsed
+  /// entries have this long to come back: the servers write theirs again within
+  /// two seconds, and after three a gateway is bound by what has gone.
+  static constexpr base::milliseconds GraceAfterReturn{2'700};
   /// How often servers renew their entries unless the settings say otherwise.
   static constexpr base::milliseconds DefaultRenewal{1'200};
   /// A server that the list has lost, or that is leaving, is forgotten after
@@ -155,9 +156,11 @@
   /// Another server answered at its address: it has ended.
   void markReplaced(base::Instant now, std::string_view id);
 
-  /// The store's list was read at that moment, by this gateway or by one that
-  /// says so itself.
-  void heardStore(base::Instant at);
+  /// The store's list was read at `at`, by this gateway or by one that says so
+  /// itself, and no outage is known to the reader since `since`.
+  void heardStore(base::Instant at, base::Instant since);
+  /// Since when no outage of the store is known.
+  base::Instant steadySince() const { return SteadySince; }
   /// Evicts servers that were not listed again in time.
   void tick(base::Instant now);
 
@@ -201,6 +204,9 @@
   std::map<std::string, Server, std::less<>> Servers;
   base::milliseconds LapseTime;
   base::Instant StoreHeardAt{};
+  base::Instant SteadySince{};
+  /// When the store was last heard before the latest outage.
+  base::Instant OutageFrom{};
   base::Instant GraceUntil{};
   mutable std::uint64_t Digest = 0;
   /// False when the list has changed since the digest was worked out.
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <set>
+#include <utility>
 
 namespace drumlanding::gateway {
 namespace {
@@ -188,7 +189,8 @@
   std::vector<GoneServer> absent;
   // One that was only met is not yet expected in the list.
   for (const auto &[id, server] : Servers)
-    if (server.IsListed && !ids.contains(id))
+    if (server.IsListed && !ids.contains(id) &&
+        server.Revision <= list.Revision)
       absent.push_back({id, list.Revision});
   for (const GoneServer &gone : absent)
     remove(now, gone, evidence);
@@ -263,18 +265,25 @@
     OnUnsure(it->second);
 }
 
-void Directory::heardStore(base::Instant at) {
+void Directory::heardStore(base::Instant at, base::Instant since) {
+  // The reader heard the store all through what looked like an outage here.
+  if (GraceUntil != base::Instant{} && since <= OutageFrom) {
+    GraceUntil = {};
+    SteadySince = std::min(SteadySince, since);
+  }
   if (at <= StoreHeardAt)
     return;
-  const base::Duration silence = at - StoreHeardAt;
-  const bool isFirst = StoreHeardAt == base::Instant{};
-  StoreHeardAt = at;
+  const base::Instant before = std::exchange(StoreHeardAt, at);
+  if (at - before < LapseTime || since <= before)
+    return;
+  SteadySince = since;
+  OutageFrom = before;
   // Without known servers there is nothing that could have lapsed.
-  if (silence < LapseTime || Servers.empty())
+  if (Servers.empty())
     return;
-  GraceUntil = at + GraceAfterReturn;
-  if (!isFirst && OnOutageOver)
-    OnOutageOver(silence);
+  GraceUntil = since + GraceAfterReturn;
+  if (before != base::Instant{} && OnOutageOver)
+    OnOutageOver(since - before);
 }
 
 void Directory::tick(base::Instant now) {
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -118,6 +118,8 @@
   message.set_config_version(W.Routes ? W.Routes->config().Version : 0);
   const base::Instant from = W.hearsList() ? W.ListHeardAt : W.ListFrom;
   message.set_list_age_ms(static_cast<std::uint64_t>(base::toMs(now - from)));
+  message.set_steady_ms(
+      static_cast<std::uint64_t>(base::toMs(now - W.Servers.steadySince())));
   message.set_list_digest(W.Servers.digest());
   message.set_watches_list(W.hearsList());
   for (const ServerLife &life : W.Servers.leaving(now)) {
@@ -242,7 +244,8 @@
   // An outage of the store is one that nobody hears it in, not one of this
   // gateway's own path to it.
   if (message.watches_list())
-    W.Servers.heardStore(now - milliseconds(message.list_age_ms()));
+    W.Servers.heardStore(now - milliseconds(message.list_age_ms()),
+                         now - milliseconds(message.steady_ms()));
   for (const ListedServer &listed : fromWire(message.changed_servers()))
     W.Servers.put(now, listed, Evidence::Gateway);
   for (const wire::GoneServer &gone : message.gone_servers())
@@ -311,7 +314,7 @@
   const base::Instant listFrom = now - milliseconds(list.age_ms());
   W.Servers.replaceAll(now, fromWire(list), Evidence::Gateway);
   W.ListRevision = std::max<std::uint64_t>(W.ListRevision, list.revision());
-  W.ListFrom = listFrom;
+  W.ListFrom = std::max(W.ListFrom, listFrom);
   W.Log.write("servers-from-peer", {{"peer", from.Name},
                                     {"servers", list.servers_size()},
                                     {"age_ms", list.age_ms()}});
--- a/src/gateway/store-watch.cc
+++ b/src/gateway/store-watch.cc
@@ -85,9 +85,10 @@
 }
 
 void noteListHeard(World &world, base::Instant now) {
+  const bool hasFailed = world.ListFailedAt > world.ListHeardAt;
+  world.Servers.heardStore(now, hasFailed ? world.ListFailedAt : now);
   world.ListHeardAt = now;
   world.ListFrom = now;
-  world.Servers.heardStore(now);
 }
 
 /// Logs an entry that names no usable server, once.
@@ -225,8 +226,10 @@
       co_await sleepFor(GatherTime);
       continue;
     }
+    const base::Instant asked = world.now();
     const auto read = co_await world.From.ReadServers();
     if (!ok(read)) {
+      world.ListFailedAt = asked;
       const milliseconds pause = health.failed(error(read));
       co_await sleepFor(pause);
       continue;
--- a/src/gateway/world.h
+++ b/src/gateway/world.h
@@ -85,6 +85,8 @@
   std::uint64_t ListRevision = 0;
   /// When this gateway itself last heard it from the store.
   base::Instant ListHeardAt{};
+  /// When it last began to read it without getting an answer.
+  base::Instant ListFailedAt{};
   /// This gateway is to follow the store's list itself, as it does until others
   /// are known to do it.
   bool WatchesList = true;
--- a/test/gateway-random-test.cc
+++ b/test/gateway-random-test.cc
@@ -80,10 +80,11 @@
 
 std::ostream &operator<<(std::ostream &out, const Action &a) {
   constexpr const char *Names[] = {
-      "request",     "begin run",    "end run",        "start server",
-      "start again", "leave server", "vanish",         "crash",
-      "store down",  "store up",     "loss begins",    "loss ends",
-      "cut off",     "cut ends",     "restart gateway"};
+      "request",        "begin run",    "end run",     "start server",
+      "start again",    "leave server", "vanish",      "crash",
+      "store down",     "store up",     "loss begins", "loss ends",
+      "cut off",        "cut ends",     "isolate",     "isolation ends",
+      "restart gateway"};
   return out << Names[static_cast<int>(a.Kind)] << " gateway=" << a.Gateway
              << " address=" << a.Address << " outcome=" << a.Outcome << " then "
              << a.WaitMs << " ms";
@@ -127,6 +128,7 @@
   base::Instant IsolatedAt{};
   /// A call to the store that gets no answer is under way until then.
   base::Instant NextCall{};
+  base::Instant ListFailedAt{};
   std::vector<ServerChange> ListNews;
 };
 
@@ -459,6 +461,7 @@
     if (Now < core.NextCall)
       return;
     if (!IsStoreUp || core.IsCutOff || core.IsIsolated) {
+      core.ListFailedAt = Now;
       core.NextCall = Now + LostCallTime;
       return;
     }
@@ -466,9 +469,10 @@
       return;
     noteNews(core, storeList());
     core.ListRevision = StoreRevision;
+    const bool hasFailed = core.ListFailedAt > core.ListHeardAt;
+    core.Servers.heardStore(Now, hasFailed ? core.ListFailedAt : Now);
     core.ListFrom = Now;
     core.ListHeardAt = Now;
-    core.Servers.heardStore(Now);
     core.Servers.replaceAll(Now, storeList());
   }
 
@@ -502,7 +506,7 @@
     list.Revision = from->ListRevision;
     core.Servers.replaceAll(Now, list, Evidence::Gateway);
     core.ListRevision = std::max(core.ListRevision, list.Revision);
-    core.ListFrom = from->ListFrom;
+    core.ListFrom = std::max(core.ListFrom, from->ListFrom);
   }
 
   wire::Gossip messageOf(Core &core) {
@@ -512,6 +516,8 @@
     message.set_incarnation(core.Incarnation);
     message.set_list_digest(core.Servers.digest());
     const bool hears = core.hearsList(Now);
+    message.set_steady_ms(static_cast<std::uint64_t>(
+        base::toMs(Now - core.Servers.steadySince())));
     message.set_watches_list(hears);
     message.set_list_age_ms(static_cast<std::uint64_t>(
         base::toMs(Now - (hears ? core.ListHeardAt : core.ListFrom))));
@@ -569,7 +575,8 @@
     for (const wire::ServerLife &life : message.leaving_servers())
       core.Servers.markLeaving(Now, {life.id(), milliseconds(life.born_ms())});
     if (message.watches_list())
-      core.Servers.heardStore(Now - milliseconds(message.list_age_ms()));
+      core.Servers.heardStore(Now - milliseconds(message.list_age_ms()),
+                              Now - milliseconds(message.steady_ms()));
     for (const ListedServer &listed : fromWire(message.changed_servers()))
       core.Servers.put(Now, listed, Evidence::Gateway);
     for (const wire::GoneServer &gone : message.gone_servers())
--- a/test/gateway-test.cc
+++ b/test/gateway-test.cc
@@ -101,22 +101,23 @@
 void hearStoreUntil(Directory &d, base::Instant until) {
   constexpr seconds While{12};
   for (base::Instant t = until - While; t <= until; t += milliseconds(500))
-    d.heardStore(t);
+    d.heardStore(t, until - While);
 }
 
 TEST(Directory, LapsedEntriesHaveTimeToComeBackAfterAnOutage) {
   Directory d;
-  d.heardStore(Start);
+  d.heardStore(Start, Start);
   d.put(Start, server("s1"));
   d.put(Start, server("s2"));
   d.remove(Start + seconds(4), {"s1"});
   d.tick(Start + seconds(4));
   EXPECT_EQ(d.usable(Start + seconds(4), "llm").size(), 2U);
   const base::Instant back = Start + seconds(5);
-  d.heardStore(back);
+  d.heardStore(back, back);
   d.replaceAll(back, {});
   EXPECT_EQ(d.usable(back, "llm").size(), 2U);
   d.put(back + seconds(1), server("s1"));
+  d.heardStore(back + seconds(2), back);
   d.tick(back + Directory::GraceAfterReturn - milliseconds(1));
   EXPECT_EQ(d.usable(back + seconds(2), "llm").size(), 2U);
   d.tick(back + Directory::GraceAfterReturn + milliseconds(1));
@@ -154,6 +155,38 @@
   EXPECT_EQ(left[0]->Listed.Id, "s2");
 }
 
+/// Guards against a gateway that was isolated and keeps servers that have left
+/// for as long as after an outage of the store.
+TEST(Directory, WhoWasIsolatedIsToldThatThereWasNoOutage) {
+  Directory d;
+  hearStoreUntil(d, Start);
+  d.put(Start, server("s1"));
+  const base::Instant back = Start + seconds(8);
+  d.heardStore(back, back);
+  d.remove(back, {"s1"});
+  EXPECT_EQ(d.usable(back, "llm").size(), 1U);
+  d.heardStore(back + milliseconds(100), Start - seconds(9));
+  d.tick(back + milliseconds(100));
+  EXPECT_TRUE(d.usable(back + milliseconds(100), "llm").empty());
+  EXPECT_EQ(d.steadySince(), Start - seconds(9));
+}
+
+/// Guards against a grace that begins when the store is heard again, up to a
+/// second after its return (random runs, seed 80).
+TEST(Directory, TheGraceBeginsWithTheEarliestReturnOfTheStore) {
+  Directory d;
+  hearStoreUntil(d, Start);
+  d.put(Start, server("s1"));
+  const base::Instant failed = Start + seconds(4);
+  const base::Instant back = failed + milliseconds(900);
+  d.heardStore(back, failed);
+  d.remove(back, {"s1"});
+  d.tick(failed + Directory::GraceAfterReturn - milliseconds(1));
+  EXPECT_EQ(d.usable(back, "llm").size(), 1U);
+  d.tick(failed + Directory::GraceAfterReturn);
+  EXPECT_TRUE(d.usable(back, "llm").empty());
+}
+
 /// A connection that dies in silence is noticed before any entry can lapse.
 TEST(Directory, AShortSilenceOfTheStoreIsNoOutage) {
   Directory d(milliseconds(1'000));
@@ -161,11 +194,11 @@
   d.OnOutageOver = [&](base::Duration) { ++outages; };
   hearStoreUntil(d, Start);
   d.put(Start, server("s1"));
-  d.heardStore(Start + milliseconds(1'990));
+  d.heardStore(Start + milliseconds(1'990), Start + milliseconds(1'990));
   d.remove(Start + milliseconds(1'990), {"s1"});
   EXPECT_TRUE(d.usable(Start + milliseconds(1'990), "llm").empty());
   EXPECT_EQ(outages, 0);
-  d.heardStore(Start + milliseconds(4'000));
+  d.heardStore(Start + milliseconds(4'000), Start + milliseconds(4'000));
   EXPECT_EQ(outages, 1);
 }
 
@@ -218,6 +251,16 @@
   EXPECT_EQ(d.usable(Start, "llm").size(), 1U);
 }
 
+/// Guards against the list of a gateway that has just started: it knows nothing
+/// (random runs, seed 80).
+TEST(Directory, AnEmptyListOfAGatewayThatHasJustStartedTakesNothingAway) {
+  Directory d;
+  hearStoreUntil(d, Start);
+  d.put(Start, listedAt("s1", 10));
+  d.replaceAll(Start, {0, {}, {}}, Evidence::Gateway);
+  EXPECT_EQ(d.usable(Start, "llm").size(), 1U);
+}
+
 /// Guards against a gateway that ignores what others tell of the list for a
 /// second after its own session was lost, and used a server 2.1 s after it
 /// left.
--- a/test/store-session-test.cc
+++ b/test/store-session-test.cc
@@ -27,6 +27,8 @@
 /// Longer than any test needs, so that a hang ends as a failure.
 constexpr seconds TestLimit{20};
 constexpr milliseconds Step{5};
+/// For how long another gateway has heard the store without an outage.
+constexpr milliseconds SteadyTime{60'000};
 /// The stated bounds: a confirmed config is in force, and a server that has
 /// left gets no requests, after this time.
 constexpr milliseconds ConfigBound{2'000};
@@ -201,6 +203,7 @@
     message.set_address(base::toString(Address));
     message.set_incarnation(1);
     message.set_watches_list(true);
+    message.set_steady_ms(SteadyTime.count());
     message.set_config_version(ConfigVersion);
     if (!gone.empty())
       message.add_gone_servers()->set_id(gone);
