--- a/test/soak/faults.cc
+++ b/test/soak/faults.cc
@@ -64,6 +64,8 @@
        [](Faults &f) { return f.strikeStore("lose=5"); }},
       {"link to the store", Trouble, 1,
        [](Faults &f) { return f.strikeLink(*f.anyGateway().StoreLink); }},
+      {"silence connections to the store", Trouble, 1,
+       [](Faults &f) { return f.silenceStore(); }},
       {"link to callers", Trouble, 1,
        [](Faults &f) { return f.strikeLink(*f.anyGateway().CallerLink); }},
       {"reset callers' connections", Trouble, 1,
@@ -80,6 +82,8 @@
       {"hang up on a gateway", Planned, 1,
        [](Faults &f) { return f.hangUpGateway(); }},
       {"empty a server", Planned, 1, [](Faults &f) { return f.emptyWorker(); }},
+      {"entry of another writer", Planned, 1,
+       [](Faults &f) { return f.All.Workers.front()->writeForeignEntry(); }},
       {"change the config", Planned, 1,
        [](Faults &f) { return f.changeConfig(); }},
       {"change the config often", Planned, 1,
@@ -244,6 +248,12 @@
   co_await http::fetch(All.Store, std::move(end), TestCallLimit);
 }
 
+asio::awaitable<void> Faults::silenceStore() {
+  for (const auto &gateway : All.Fleet.All)
+    gateway->StoreLink->silenceOpen();
+  co_await sleepFor(LookEvery);
+}
+
 asio::awaitable<void> Faults::strikeLink(Proxy &link) {
   constexpr LinkFault Possible[] = {LinkFault::Delayed, LinkFault::Silent,
                                     LinkFault::CutToServer,
--- a/test/soak/faults.h
+++ b/test/soak/faults.h
@@ -58,6 +58,7 @@
   Step killAllGateways();
   Step strikeSidecar();
   Step strikeStore(std::string fault);
+  Step silenceStore();
   Step strikeLink(Proxy &link);
   Step resetLink(Proxy &link);
   Step crashWorker();
--- a/test/soak/main.cc
+++ b/test/soak/main.cc
@@ -152,7 +152,8 @@
     std::ofstream(gateway->SettingsFile) << fmt::format(
         "--name={}\n--place={}\n--failure_domain={}\n--listen={}\n"
         "--ready_listen={}\n--gateway_listen={}\n--platform={}\n--seeds={}\n"
-        "--sidecar_port={}\n--retry_extra=30\n--drain_ms=1000\n--grace_s=8\n",
+        "--sidecar_port={}\n--retry_extra=30\n--drain_ms=1000\n--renewal_ms="
+        "500\n--grace_s=8\n",
         name, zoneOf(n), zoneOf(n), base::toString(listen),
         base::toString(gateway->Ready),
         base::toString(at(GatewayGroup, n, ControlPort)), base::toString(store),
--- a/test/soak/proxy.cc
+++ b/test/soak/proxy.cc
@@ -61,6 +61,12 @@
     }
 }
 
+void Proxy::silenceOpen() {
+  for (const std::weak_ptr<Link> &weak : Links)
+    if (const LinkPointer link = weak.lock())
+      link->IsSilent = true;
+}
+
 bool Proxy::isHeldUp(bool isToServer) const {
   return Fault == LinkFault::Silent ||
          Fault ==
@@ -113,6 +119,8 @@
         asio::buffer(buf), asio::redirect_error(asio::use_awaitable, ec));
     while (isHeldUp(isToServer))
       co_await sleepFor(HoldStep);
+    if (link->IsSilent && !ec)
+      continue;
     if (Fault == LinkFault::Delayed)
       co_await sleepFor(Delay);
     if (ec == asio::error::eof) {
--- a/test/soak/proxy.h
+++ b/test/soak/proxy.h
@@ -39,6 +39,8 @@
   void set(LinkFault fault) { Fault = fault; }
   /// Resets all connections that are open now.
   void resetAll();
+  /// Connections that are open now never carry anything again; new ones do.
+  void silenceOpen();
 
 private:
   using Socket = asio::ip::tcp::socket;
@@ -46,6 +48,7 @@
     explicit Link(asio::io_context &io) : Client(io), Server(io) {}
     Socket Client;
     Socket Server;
+    bool IsSilent = false;
   };
   using LinkPointer = std::shared_ptr<Link>;
 
--- a/test/soak/workers.cc
+++ b/test/soak/workers.cc
@@ -49,11 +49,15 @@
                const platform::Store &store, Place place, std::uint64_t seed)
     : Io(io), Log(journal), AllCopies(copies), Store(store),
       At(std::move(place)), Random(seed) {
-  rename();
+  beginLife();
 }
 
-void Worker::rename() {
-  Id = "i-" + std::to_string(Random.below(1'000'000'000));
+void Worker::beginLife() {
+  constexpr double SameId = 0.3;
+  if (Id.empty() || !Random.chance(SameId))
+    Id = "i-" + std::to_string(Random.below(1'000'000'000));
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  BornMs = std::chrono::duration_cast<milliseconds>(now).count();
   Revision = 0;
   Lease = 0;
   IsLeaving = false;
@@ -84,6 +88,7 @@
                    {"slots", 8},
                    {"state", IsLeaving ? "draining" : "ready"},
                    {"coldLeftMs", 0},
+                   {"born", BornMs},
                    {"seq", ++Beats}};
   if (Lease == 0) {
     const auto lease = co_await Store.grantLease(EntryTime);
@@ -104,6 +109,19 @@
   co_return value(swap).Swapped;
 }
 
+asio::awaitable<void> Worker::writeForeignEntry() {
+  constexpr const char *Texts[] = {
+      "", "\xff\xfe", "[1]", R"({"backend":7})",
+      R"({"backend":"shop","address":"127.0.0.1:9","state":"asleep"})"};
+  const auto lease = co_await Store.grantLease(EntryTime);
+  if (!ok(lease))
+    co_return;
+  const std::string key =
+      "servers/x-" + std::to_string(Random.below(1'000'000'000));
+  co_await Store.swap(key, 0, Texts[Random.below(std::size(Texts))],
+                      value(lease));
+}
+
 asio::awaitable<void> Worker::keepListed() {
   for (;;) {
     if (IsUp) {
@@ -136,7 +154,7 @@
   co_await sleepFor(downFor);
   if (life != Life)
     co_return;
-  rename();
+  beginLife();
   Link->set(LinkFault::None);
   IsUp = true;
 }
@@ -312,6 +330,7 @@
 
 asio::awaitable<void> Worker::report(http::Exchange &x) {
   Json report{{"state", IsLeaving ? "draining" : "ready"},
+              {"born", BornMs},
               {"running", Open},
               {"waiting", 0},
               {"kvUsed", 0},
--- a/test/soak/workers.h
+++ b/test/soak/workers.h
@@ -64,9 +64,13 @@
   void begin();
   /// Says that it leaves; it is gone after `notice` and comes back as another.
   asio::awaitable<void> leave(base::milliseconds notice);
-  /// Dies at once, breaking off what it does, and comes back as another.
+  /// Dies at once, breaking off what it does, and comes back as another, or
+  /// under its id.
   asio::awaitable<void> crash(base::milliseconds downFor);
 
+  /// Writes an entry beside the servers' that names none, for a while.
+  asio::awaitable<void> writeForeignEntry();
+
   Mood HasMood = Mood::Well;
   Proxy &link() { return *Link; }
   const std::string &id() const { return Id; }
@@ -89,7 +93,7 @@
                 Generation &generation);
   http::Response own(const http::Request &request, int status,
                      std::string body) const;
-  void rename();
+  void beginLife();
 
   asio::io_context &Io;
   Journal &Log;
@@ -98,6 +102,7 @@
   Place At;
   base::Random Random;
   std::string Id;
+  std::int64_t BornMs = 0;
   /// Rises with each life: what an earlier life does ends.
   int Life = 0;
   bool IsUp = true;
