--- a/include/drumlanding/gateway/directory.h
+++ b/include/drumlanding/gateway/directory.h
@@ -6,9 +6,9 @@
 ///   directory.put(now, server); directory.remove(now, id);
 ///   for (const Server *s : directory.usable(now, "tutor-llm")) ...
 ///
-/// Servers renew their entries in the store. After nobody has heard from the
-/// store for longer than an entry may go without renewal, an absent entry may
-/// have lapsed with its server well: the server stays in use until
+/// Servers renew their entries in the store. After no gateway has heard from
+/// the store for longer than an entry may go without renewal, an absent entry
+/// may have lapsed with its server well: the server stays in use until
 /// GraceAfterReturn has passed without it.
 #pragma once
 
@@ -22,7 +22,7 @@
 
 namespace drumlanding::gateway {
 
-/// How a request to a backend server ended, as far as it tells of the server.
+/// How a request to a backend server ended, for the server's health.
 enum class ServerOutcome {
   Served,      ///< An answer of its own, whole.
   Failed,      ///< A failure of its own, whole.
@@ -57,16 +57,16 @@
   /// Recent failures as a part of recent outcomes; old ones fade.
   double FailurePart = 0;
   /// Broken answers since the last whole one, here or at another gateway.
-  int Strikes = 0;
+  int BrokenAnswers = 0;
   /// Not chosen before this moment.
   base::Instant AvoidUntil{};
   /// Requests of this gateway in progress there.
   int Open = 0;
 };
 
-/// Returns the strikes that still count: they are forgotten some time after the
+/// Returns the broken answers that still count: they expire some time after the
 /// server was last avoided, or it would never be tried again.
-int strikesOf(const Server &server, base::Instant now);
+int brokenAnswersOf(const Server &server, base::Instant now);
 
 /// What a change of what is believed of a server rests on.
 enum class Evidence {
@@ -82,7 +82,7 @@
 /// A server that a gateway avoids, as it tells the others.
 struct AvoidedServer {
   std::string Id;
-  int Strikes = 0;
+  int BrokenAnswers = 0;
   base::milliseconds Left{0};
   base::milliseconds BornAt{0};
 };
@@ -123,7 +123,7 @@
   std::function<void(const Server &)> OnLeaving;
   /// Called when a server is newly listed, or another one has answered at its
   /// address: the list may lag behind what is there.
-  std::function<void(const Server &)> OnUnsure;
+  std::function<void(const Server &)> OnUnverified;
   /// Called with a sentence for each change of what is believed.
   std::function<void(std::string_view event, Evidence, const Server &)>
       OnChange;
@@ -150,15 +150,15 @@
               Evidence evidence = Evidence::Store);
   /// The server itself, or another gateway, says that it is leaving.
   void markLeaving(base::Instant now, const ServerLife &life);
-  /// The process beside a server tells of it: who it is, perhaps before the
-  /// list knows, and that it is leaving.
-  void hearNotice(base::Instant now, const ServerNotice &notice);
+  /// Applies a sidecar's notice: which server is there, perhaps before the list
+  /// names it, and whether it is leaving.
+  void applyNotice(base::Instant now, const ServerNotice &notice);
   /// Another server answered at its address: it has ended.
   void markReplaced(base::Instant now, std::string_view id);
 
   /// The store's list was read at `at`, by this gateway or by one that says so
   /// itself, and no outage is known to the reader since `since`.
-  void heardStore(base::Instant at, base::Instant since);
+  void noteStoreContact(base::Instant at, base::Instant since);
   /// Since when no outage of the store is known.
   base::Instant steadySince() const { return SteadySince; }
   /// Evicts servers that were not listed again in time.
@@ -166,7 +166,7 @@
 
   void note(base::Instant now, std::string_view id, ServerOutcome outcome);
   /// Another gateway avoids a server.
-  void hearAvoided(base::Instant now, const AvoidedServer &avoided);
+  void applyAvoided(base::Instant now, const AvoidedServer &avoided);
   /// The servers that broken answers make this gateway avoid.
   std::vector<AvoidedServer> avoided(base::Instant now) const;
   void opened(std::string_view id);
@@ -190,7 +190,7 @@
 private:
   void leave(base::Instant now, Server &server, Evidence evidence);
   void leaveByAbsence(base::Instant now, Server &server, Evidence evidence);
-  void miss(Server &server, Evidence evidence);
+  void markAbsent(Server &server, Evidence evidence);
   void restart(Server &server, base::milliseconds bornAt, Evidence evidence);
   void replaceOthersAt(base::Instant now, const ListedServer &seen);
   void changed(std::string_view event, Evidence evidence,
@@ -203,7 +203,7 @@
 
   std::map<std::string, Server, std::less<>> Servers;
   base::milliseconds LapseTime;
-  base::Instant StoreHeardAt{};
+  base::Instant StoreContactAt{};
   base::Instant SteadySince{};
   /// When the store was last heard before the latest outage.
   base::Instant OutageFrom{};
--- a/include/drumlanding/gateway/peers.h
+++ b/include/drumlanding/gateway/peers.h
@@ -38,7 +38,7 @@
   std::uint64_t ConfigVersion = 0;
   /// When its list of servers was last heard from the store.
   base::Instant ListFrom{};
-  /// It hears the store's list itself.
+  /// It reads the store's list itself.
   bool WatchesList = false;
 };
 
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -23,15 +23,15 @@
 constexpr base::milliseconds MostAvoidTime{8'000};
 /// The others are told of a leaving server for so long: ten messages.
 constexpr base::seconds TellLeaving{5};
-/// Strikes are forgotten this long after the last time of avoidance, in case
-/// that no short request comes as a trial.
-constexpr base::milliseconds StrikeTime{10'000};
+/// BrokenAnswers are forgotten this long after the last time of avoidance, in
+/// case that no short request comes as a trial.
+constexpr base::milliseconds BrokenAnswersExpiry{10'000};
 /// One that could not be reached gets no new work for this long.
 constexpr base::milliseconds UnreachableTime{1'000};
 
-base::milliseconds avoidTime(int strikes) {
+base::milliseconds avoidTime(int brokenAnswers) {
   constexpr int MostDoublings = 3;
-  const int doublings = std::clamp(strikes - 1, 0, MostDoublings);
+  const int doublings = std::clamp(brokenAnswers - 1, 0, MostDoublings);
   return std::min(FirstAvoidTime * (1 << doublings), MostAvoidTime);
 }
 
@@ -47,8 +47,9 @@
 
 } // namespace
 
-int strikesOf(const Server &server, base::Instant now) {
-  return now < server.AvoidUntil + StrikeTime ? server.Strikes : 0;
+int brokenAnswersOf(const Server &server, base::Instant now) {
+  return now < server.AvoidUntil + BrokenAnswersExpiry ? server.BrokenAnswers
+                                                       : 0;
 }
 
 std::string_view toString(Evidence evidence) {
@@ -94,7 +95,7 @@
   server.IsLeavingByAbsence = true;
 }
 
-void Directory::miss(Server &server, Evidence evidence) {
+void Directory::markAbsent(Server &server, Evidence evidence) {
   if (server.IsMissing)
     return;
   IsDigestKnown = false;
@@ -115,8 +116,8 @@
     added->second.ColdUntil = now + listed.ColdLeft;
     added->second.Revision = listed.Revision;
     changed("server-listed", evidence, added->second);
-    if (OnUnsure)
-      OnUnsure(added->second);
+    if (OnUnverified)
+      OnUnverified(added->second);
     if (listed.State == ServerState::Leaving)
       leave(now, added->second, evidence);
     return;
@@ -156,12 +157,12 @@
   server = std::move(fresh);
   IsDigestKnown = false;
   changed("server-restarted", evidence, server);
-  if (OnUnsure)
-    OnUnsure(server);
+  if (OnUnverified)
+    OnUnverified(server);
 }
 
 bool Directory::mayHaveLapsed(base::Instant now) const {
-  return now < GraceUntil || now - StoreHeardAt >= LapseTime;
+  return now < GraceUntil || now - StoreContactAt >= LapseTime;
 }
 
 void Directory::remove(base::Instant now, const GoneServer &gone,
@@ -170,7 +171,7 @@
   if (it == Servers.end() || isOlder(gone.Revision, it->second))
     return;
   it->second.Revision = gone.Revision;
-  miss(it->second, evidence);
+  markAbsent(it->second, evidence);
   if (!mayHaveLapsed(now))
     leaveByAbsence(now, it->second, evidence);
 }
@@ -229,7 +230,7 @@
   }
 }
 
-void Directory::hearNotice(base::Instant now, const ServerNotice &notice) {
+void Directory::applyNotice(base::Instant now, const ServerNotice &notice) {
   if (notice.Seen.Id.empty())
     return;
   auto it = Servers.find(notice.Seen.Id);
@@ -261,19 +262,19 @@
     return;
   it->second.IsReplaced = true;
   leave(now, it->second, Evidence::Address);
-  if (OnUnsure)
-    OnUnsure(it->second);
+  if (OnUnverified)
+    OnUnverified(it->second);
 }
 
-void Directory::heardStore(base::Instant at, base::Instant since) {
+void Directory::noteStoreContact(base::Instant at, base::Instant since) {
   // The reader heard the store all through what looked like an outage here.
   if (GraceUntil != base::Instant{} && since <= OutageFrom) {
     GraceUntil = {};
     SteadySince = std::min(SteadySince, since);
   }
-  if (at <= StoreHeardAt)
+  if (at <= StoreContactAt)
     return;
-  const base::Instant before = std::exchange(StoreHeardAt, at);
+  const base::Instant before = std::exchange(StoreContactAt, at);
   if (at - before < LapseTime || since <= before)
     return;
   SteadySince = since;
@@ -305,13 +306,13 @@
     return;
   Server &server = it->second;
   if (outcome == ServerOutcome::Broken) {
-    server.Strikes = strikesOf(server, now) + 1;
-    server.AvoidUntil = now + avoidTime(server.Strikes);
+    server.BrokenAnswers = brokenAnswersOf(server, now) + 1;
+    server.AvoidUntil = now + avoidTime(server.BrokenAnswers);
     changed("server-avoided", Evidence::Requests, server);
     return;
   }
   if (outcome == ServerOutcome::Served)
-    server.Strikes = 0;
+    server.BrokenAnswers = 0;
   if (outcome == ServerOutcome::Unreachable) {
     server.AvoidUntil = now + UnreachableTime;
     changed("server-unreachable", Evidence::Requests, server);
@@ -327,12 +328,13 @@
   changed("server-avoided", Evidence::Requests, server);
 }
 
-void Directory::hearAvoided(base::Instant now, const AvoidedServer &avoided) {
+void Directory::applyAvoided(base::Instant now, const AvoidedServer &avoided) {
   const auto it = Servers.find(avoided.Id);
-  if (it == Servers.end() || avoided.Strikes <= strikesOf(it->second, now) ||
+  if (it == Servers.end() ||
+      avoided.BrokenAnswers <= brokenAnswersOf(it->second, now) ||
       isEarlierLife(avoided.BornAt, it->second.Listed.BornAt))
     return;
-  it->second.Strikes = avoided.Strikes;
+  it->second.BrokenAnswers = avoided.BrokenAnswers;
   it->second.AvoidUntil = std::max(it->second.AvoidUntil,
                                    now + std::min(avoided.Left, MostAvoidTime));
   changed("server-avoided", Evidence::Gateway, it->second);
@@ -341,9 +343,9 @@
 std::vector<AvoidedServer> Directory::avoided(base::Instant now) const {
   std::vector<AvoidedServer> avoided;
   for (const auto &[id, server] : Servers)
-    if (server.Strikes > 0 && server.AvoidUntil > now)
+    if (server.BrokenAnswers > 0 && server.AvoidUntil > now)
       avoided.push_back(
-          {id, server.Strikes,
+          {id, server.BrokenAnswers,
            base::milliseconds(base::toMs(server.AvoidUntil - now)),
            server.Listed.BornAt});
   return avoided;
--- a/src/gateway/forwarding.h
+++ b/src/gateway/forwarding.h
@@ -100,7 +100,7 @@
 /// Passes a whole answer on.
 http::Response toResponse(WholeAnswer answer);
 
-/// Notes what an attempt tells of a server.
+/// Records the outcome of an attempt for the server's health.
 void noteOutcome(Forwarding &f, const std::string &server,
                  const Attempt &attempt);
 
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -60,7 +60,9 @@
     g.take(bytes, from);
   };
   asio::co_spawn(world.Io, g.Socket->receive(take), asio::detached);
-  world.Servers.OnUnsure = [&g](const Server &server) { g.askBeside(server); };
+  world.Servers.OnUnverified = [&g](const Server &server) {
+    g.askBeside(server);
+  };
   asio::co_spawn(world.Io, g.tell(), asio::detached);
   asio::co_spawn(world.Io, g.tick(), asio::detached);
   asio::co_spawn(world.Io, g.catchUp(), asio::detached);
@@ -116,12 +118,12 @@
   message.set_address(base::toString(W.Settings.ControlListen));
   message.set_incarnation(W.Incarnation);
   message.set_config_version(W.Routes ? W.Routes->config().Version : 0);
-  const base::Instant from = W.hearsList() ? W.ListHeardAt : W.ListFrom;
+  const base::Instant from = W.hasStoreContact() ? W.ListReadAt : W.ListFrom;
   message.set_list_age_ms(static_cast<std::uint64_t>(base::toMs(now - from)));
   message.set_steady_ms(
       static_cast<std::uint64_t>(base::toMs(now - W.Servers.steadySince())));
   message.set_list_digest(W.Servers.digest());
-  message.set_watches_list(W.hearsList());
+  message.set_watches_list(W.hasStoreContact());
   for (const ServerLife &life : W.Servers.leaving(now)) {
     wire::ServerLife &out = *message.add_leaving_servers();
     out.set_id(life.Id);
@@ -130,7 +132,7 @@
   for (const AvoidedServer &avoided : W.Servers.avoided(now)) {
     wire::Avoided &out = *message.add_avoided();
     out.set_server(avoided.Id);
-    out.set_strikes(static_cast<std::uint32_t>(avoided.Strikes));
+    out.set_broken_answers(static_cast<std::uint32_t>(avoided.BrokenAnswers));
     out.set_left_ms(static_cast<std::uint64_t>(avoided.Left.count()));
     out.set_born_ms(static_cast<std::uint64_t>(avoided.BornAt.count()));
   }
@@ -168,7 +170,7 @@
     Socket->send(to, bytes);
 }
 
-void Gossip::sayGoodbye() {
+void Gossip::announceStop() {
   wire::Gossip message = greeting();
   message.set_is_last(true);
   send(message);
@@ -192,11 +194,11 @@
                message.SerializeAsString());
 }
 
-/// A sidecar tells of its engine and wants to know the gateways.
+/// Takes a sidecar's notice and answers with the gateways' addresses.
 void Gossip::takeNotice(const wire::Gossip &message,
                         const Datagrams::Sender &from) {
   const base::Instant now = W.now();
-  W.Servers.hearNotice(now, fromWire(message.notice()));
+  W.Servers.applyNotice(now, fromWire(message.notice()));
   wire::Gossip answer;
   answer.set_name(W.Settings.Name);
   answer.set_address(base::toString(W.Settings.ControlListen));
@@ -237,26 +239,26 @@
   for (const wire::ServerLife &life : message.leaving_servers())
     W.Servers.markLeaving(now, {life.id(), milliseconds(life.born_ms())});
   for (const wire::Avoided &avoided : message.avoided())
-    W.Servers.hearAvoided(now, {avoided.server(),
-                                static_cast<int>(avoided.strikes()),
-                                milliseconds(avoided.left_ms()),
-                                milliseconds(avoided.born_ms())});
-  // An outage of the store is one that nobody hears it in, not one of this
-  // gateway's own path to it.
+    W.Servers.applyAvoided(now, {avoided.server(),
+                                 static_cast<int>(avoided.broken_answers()),
+                                 milliseconds(avoided.left_ms()),
+                                 milliseconds(avoided.born_ms())});
+  // An outage of the store is one that affects every gateway, not a loss of
+  // this gateway's own path to it.
   if (message.watches_list())
-    W.Servers.heardStore(now - milliseconds(message.list_age_ms()),
-                         now - milliseconds(message.steady_ms()));
+    W.Servers.noteStoreContact(now - milliseconds(message.list_age_ms()),
+                               now - milliseconds(message.steady_ms()));
   for (const ListedServer &listed : fromWire(message.changed_servers()))
     W.Servers.put(now, listed, Evidence::Gateway);
   for (const wire::GoneServer &gone : message.gone_servers())
     W.Servers.remove(now, fromWire(gone), Evidence::Gateway);
-  hearList(now, message);
+  adoptListAge(now, message);
 }
 
 /// A gateway that follows the store's list has the same one: it is as fresh
 /// as theirs.
-void Gossip::hearList(base::Instant now, const wire::Gossip &message) {
-  if (!message.watches_list() || W.hearsList() ||
+void Gossip::adoptListAge(base::Instant now, const wire::Gossip &message) {
+  if (!message.watches_list() || W.hasStoreContact() ||
       message.list_digest() != W.Servers.digest())
     return;
   W.ListFrom = std::max(W.ListFrom, now - milliseconds(message.list_age_ms()));
--- a/src/gateway/gossip.h
+++ b/src/gateway/gossip.h
@@ -23,7 +23,7 @@
   asio::awaitable<void> serve(http::Request request, http::Exchange &x);
 
   /// Tells the others that this gateway ends.
-  void sayGoodbye();
+  void announceStop();
 
 private:
   explicit Gossip(World &world);
@@ -37,7 +37,7 @@
   void take(std::string_view datagram, const Datagrams::Sender &from);
   void askBeside(const Server &server);
   void takeNotice(const wire::Gossip &message, const Datagrams::Sender &from);
-  void hearList(base::Instant now, const wire::Gossip &message);
+  void adoptListAge(base::Instant now, const wire::Gossip &message);
   asio::awaitable<void> tick();
   asio::awaitable<void> catchUp();
   void fetchFailed(const Peer &from, std::string_view what);
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -15,7 +15,7 @@
 /// broken answer since its last whole one: an engine that breaks everything off
 /// is the emptiest of all.
 constexpr double FailureMs = 2'000;
-constexpr double StrikeMs = 500;
+constexpr double BrokenAnswerMs = 500;
 /// Cost of such an engine for what should not be its next trial: a generation
 /// that is worth much, or a second one while the first has not come back.
 constexpr double UntriedMs = 10'000;
@@ -39,7 +39,7 @@
 
 /// The same for plain servers, in open requests.
 constexpr double FailureRank = 2;
-constexpr double StrikeRank = 1;
+constexpr double BrokenAnswerRank = 1;
 
 bool wasTried(std::span<const std::string> tried, const std::string &id) {
   return std::find(tried.begin(), tried.end(), id) != tried.end();
@@ -60,8 +60,8 @@
   cost += static_cast<double>(
       std::max(std::int64_t{0}, base::toMs(server.ColdUntil - now)));
   cost += server.FailurePart * FailureMs;
-  if (const int strikes = strikesOf(server, now); strikes > 0)
-    cost += isTrial(demand, load) ? strikes * StrikeMs : UntriedMs;
+  if (const int n = brokenAnswersOf(server, now); n > 0)
+    cost += isTrial(demand, load) ? n * BrokenAnswerMs : UntriedMs;
   const double limit = MemoryLimit * static_cast<double>(engine.MemoryTokens);
   const double filled = static_cast<double>(load.ForecastTokens) +
                         demand.PromptTokens + demand.ExpectedTokens;
@@ -137,7 +137,7 @@
     const double tie = server->Listed.Zone == Zone ? 0 : 0.5;
     const double rank = server->Open + tie + random.unit() * 0.4 +
                         server->FailurePart * FailureRank +
-                        strikesOf(*server, now) * StrikeRank;
+                        brokenAnswersOf(*server, now) * BrokenAnswerRank;
     if (best && rank >= bestRank)
       continue;
     best = server;
--- a/src/gateway/shell.cc
+++ b/src/gateway/shell.cc
@@ -147,7 +147,7 @@
     Callers->closeIdle();
     co_await sleepFor(CheckEvery);
   } while (W.Open > 0 && W.now() < W.stopAt());
-  Talk->sayGoodbye();
+  Talk->announceStop();
   W.Log.write("stopped", {{"open", W.Open}});
   W.Io.stop();
 }
--- a/src/gateway/store-watch.cc
+++ b/src/gateway/store-watch.cc
@@ -23,10 +23,10 @@
 constexpr double WatchPart = 0.4;
 /// The same for the list of servers, whose renewals come all the time.
 constexpr milliseconds ListWatchWait{500};
-/// The same for a gateway that hears of changes from others: each call to the
+/// The same for a gateway that is told of changes by others: each call to the
 /// store is paid for.
 constexpr milliseconds RelayedWatchWait{12'000};
-/// How often such a gateway checks that others still hear the store.
+/// How often such a gateway checks that others still read the store.
 constexpr milliseconds RoleCheckEvery{200};
 /// Servers write their entries all the time: changes are taken in together. A
 /// server that leaves serves for two seconds and longer.
@@ -34,7 +34,7 @@
 /// Pause before the whole is read anew after a lost history.
 constexpr milliseconds ReadAgainPause{150};
 /// First pause before asking a store again that is away, and the longest, also
-/// for a gateway that hears of changes from others.
+/// for a gateway that is told of changes by others.
 constexpr milliseconds FirstPause{100};
 constexpr milliseconds LongestPause{400};
 constexpr milliseconds LongestRelayedPause{1'000};
@@ -84,10 +84,10 @@
   return e.Code == base::ErrorCode::NotFound;
 }
 
-void noteListHeard(World &world, base::Instant now) {
-  const bool hasFailed = world.ListFailedAt > world.ListHeardAt;
-  world.Servers.heardStore(now, hasFailed ? world.ListFailedAt : now);
-  world.ListHeardAt = now;
+void noteListRead(World &world, base::Instant now) {
+  const bool hasFailed = world.ListReadFailedAt > world.ListReadAt;
+  world.Servers.noteStoreContact(now, hasFailed ? world.ListReadFailedAt : now);
+  world.ListReadAt = now;
   world.ListFrom = now;
 }
 
@@ -104,7 +104,7 @@
 
 void apply(World &world, const ServerChanges &changes) {
   const base::Instant now = world.now();
-  noteListHeard(world, now);
+  noteListRead(world, now);
   const std::uint64_t before = world.Servers.digest();
   for (const ServerChange &change : changes.Changes) {
     noteEntry(world, change);
@@ -133,7 +133,7 @@
       all.Servers.push_back(*change.Listed);
   }
   const base::Instant now = world.now();
-  noteListHeard(world, now);
+  noteListRead(world, now);
   world.Servers.replaceAll(now, all);
   world.ListRevision = std::max(world.ListRevision, all.Revision);
 }
@@ -161,7 +161,7 @@
   if (first.index() == 0)
     co_return std::get<0>(std::move(first));
   co_return base::Error{base::ErrorCode::NotFound, "config",
-                        "no other gateway hears the store"};
+                        "no other gateway reads the store"};
 }
 
 /// Follows changes from a revision until the watch fails, or until others do it
@@ -211,7 +211,7 @@
       world.takeConfig(std::move(value(read).Text), "store");
     const base::Error e =
         co_await followConfig(world, health, value(read).Revision);
-    // Reading anew is the answer to a lost history, but never in a rush.
+    // Reading anew is the answer to a lost history, after a pause.
     const milliseconds pause =
         isHistoryGone(e) ? ReadAgainPause : health.failed(e);
     co_await sleepFor(pause);
@@ -229,7 +229,7 @@
     const base::Instant asked = world.now();
     const auto read = co_await world.From.ReadServers();
     if (!ok(read)) {
-      world.ListFailedAt = asked;
+      world.ListReadFailedAt = asked;
       const milliseconds pause = health.failed(error(read));
       co_await sleepFor(pause);
       continue;
@@ -238,7 +238,7 @@
     applyAll(world, value(read));
     const base::Error e =
         co_await followServers(world, health, value(read).Revision);
-    // Reading anew is the answer to a lost history, but never in a rush.
+    // Reading anew is the answer to a lost history, after a pause.
     const milliseconds pause =
         isHistoryGone(e) ? ReadAgainPause : health.failed(e);
     co_await sleepFor(pause);
--- a/src/gateway/world.h
+++ b/src/gateway/world.h
@@ -84,9 +84,9 @@
   /// The store's revision up to which every change of it is known here.
   std::uint64_t ListRevision = 0;
   /// When this gateway itself last heard it from the store.
-  base::Instant ListHeardAt{};
+  base::Instant ListReadAt{};
   /// When it last began to read it without getting an answer.
-  base::Instant ListFailedAt{};
+  base::Instant ListReadFailedAt{};
   /// This gateway is to follow the store's list itself, as it does until others
   /// are known to do it.
   bool WatchesList = true;
@@ -104,8 +104,8 @@
 
   base::Instant now() const { return Clock.now().Steady; }
   /// True while the store's list reaches this gateway without help of others.
-  bool hearsList() const {
-    return WatchesList && now() - ListHeardAt < ListIsOld;
+  bool hasStoreContact() const {
+    return WatchesList && now() - ListReadAt < ListIsOld;
   }
   bool isReady() const { return Routes && !Servers.isEmpty() && !IsLeaving; }
   /// When a gateway that was told to stop ends, whatever is still open.
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -58,11 +58,11 @@
   if (!ok(datagrams))
     return error(datagrams);
   s.Socket = std::move(value(datagrams));
-  const auto hear = [&s](std::string_view bytes,
+  const auto take = [&s](std::string_view bytes,
                          const gateway::Datagrams::Sender &from) {
-    s.hear(bytes, from);
+    s.receive(bytes, from);
   };
-  asio::co_spawn(io, s.Socket->receive(hear), asio::detached);
+  asio::co_spawn(io, s.Socket->receive(take), asio::detached);
   asio::co_spawn(io, s.keepContact(), asio::detached);
   asio::co_spawn(io, s.watchEngine(), asio::detached);
   s.MetAt = s.Clock.now().Steady;
@@ -184,8 +184,8 @@
     Socket->send(gateway, bytes);
 }
 
-void Sidecar::hear(std::string_view bytes,
-                   const gateway::Datagrams::Sender &from) {
+void Sidecar::receive(std::string_view bytes,
+                      const gateway::Datagrams::Sender &from) {
   wire::Gossip message;
   if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size())) ||
       message.has_notice())
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -41,7 +41,7 @@
   asio::awaitable<void> askUntilBroken();
   asio::awaitable<base::Result<http::Response>>
   ask(http::Connection &connection, http::Request request);
-  void hear(std::string_view bytes, const gateway::Datagrams::Sender &from);
+  void receive(std::string_view bytes, const gateway::Datagrams::Sender &from);
   std::string notice() const;
   asio::awaitable<void> keepContact();
   void meet(const std::string &id);
--- a/test/gateway-random-test.cc
+++ b/test/gateway-random-test.cc
@@ -113,12 +113,12 @@
   RetryBudget Retries;
   base::Instant StartedAt;
   ToldRuns Told;
-  bool hearsList(base::Instant now) const {
-    return WatchesList && now - ListHeardAt < ListIsOld;
+  bool hasStoreContact(base::Instant now) const {
+    return WatchesList && now - ListReadAt < ListIsOld;
   }
 
   base::Instant ListFrom{};
-  base::Instant ListHeardAt{};
+  base::Instant ListReadAt{};
   std::uint64_t ListRevision = 0;
   bool WatchesList = true;
   /// Its own path to the store is cut.
@@ -128,7 +128,7 @@
   base::Instant IsolatedAt{};
   /// A call to the store that gets no answer is under way until then.
   base::Instant NextCall{};
-  base::Instant ListFailedAt{};
+  base::Instant ListReadFailedAt{};
   std::vector<ServerChange> ListNews;
 };
 
@@ -461,7 +461,7 @@
     if (Now < core.NextCall)
       return;
     if (!IsStoreUp || core.IsCutOff || core.IsIsolated) {
-      core.ListFailedAt = Now;
+      core.ListReadFailedAt = Now;
       core.NextCall = Now + LostCallTime;
       return;
     }
@@ -469,10 +469,10 @@
       return;
     noteNews(core, storeList());
     core.ListRevision = StoreRevision;
-    const bool hasFailed = core.ListFailedAt > core.ListHeardAt;
-    core.Servers.heardStore(Now, hasFailed ? core.ListFailedAt : Now);
+    const bool hasFailed = core.ListReadFailedAt > core.ListReadAt;
+    core.Servers.noteStoreContact(Now, hasFailed ? core.ListReadFailedAt : Now);
     core.ListFrom = Now;
-    core.ListHeardAt = Now;
+    core.ListReadAt = Now;
     core.Servers.replaceAll(Now, storeList());
   }
 
@@ -515,12 +515,12 @@
     message.set_address(core.Address);
     message.set_incarnation(core.Incarnation);
     message.set_list_digest(core.Servers.digest());
-    const bool hears = core.hearsList(Now);
+    const bool hasContact = core.hasStoreContact(Now);
     message.set_steady_ms(static_cast<std::uint64_t>(
         base::toMs(Now - core.Servers.steadySince())));
-    message.set_watches_list(hears);
+    message.set_watches_list(hasContact);
     message.set_list_age_ms(static_cast<std::uint64_t>(
-        base::toMs(Now - (hears ? core.ListHeardAt : core.ListFrom))));
+        base::toMs(Now - (hasContact ? core.ListReadAt : core.ListFrom))));
     for (const ServerLife &life : core.Servers.leaving(Now)) {
       wire::ServerLife &out = *message.add_leaving_servers();
       out.set_id(life.Id);
@@ -556,11 +556,11 @@
       if (!other || other->IsIsolated || core.IsIsolated)
         continue;
       if (!(LosesMessages && ++Told % 2 == 0))
-        hear(*other, message);
+        receive(*other, message);
     }
   }
 
-  void hear(Core &core, const wire::Gossip &message) {
+  void receive(Core &core, const wire::Gossip &message) {
     if (core.Others.heard(Now, message) == Peers::Heard::Nothing)
       return;
     std::vector<LedgerRun> runs;
@@ -575,13 +575,13 @@
     for (const wire::ServerLife &life : message.leaving_servers())
       core.Servers.markLeaving(Now, {life.id(), milliseconds(life.born_ms())});
     if (message.watches_list())
-      core.Servers.heardStore(Now - milliseconds(message.list_age_ms()),
-                              Now - milliseconds(message.steady_ms()));
+      core.Servers.noteStoreContact(Now - milliseconds(message.list_age_ms()),
+                                    Now - milliseconds(message.steady_ms()));
     for (const ListedServer &listed : fromWire(message.changed_servers()))
       core.Servers.put(Now, listed, Evidence::Gateway);
     for (const wire::GoneServer &gone : message.gone_servers())
       core.Servers.remove(Now, fromWire(gone), Evidence::Gateway);
-    if (message.watches_list() && !core.hearsList(Now) &&
+    if (message.watches_list() && !core.hasStoreContact(Now) &&
         message.list_digest() == core.Servers.digest())
       core.ListFrom =
           std::max(core.ListFrom, Now - milliseconds(message.list_age_ms()));
--- a/test/gateway-test.cc
+++ b/test/gateway-test.cc
@@ -98,26 +98,26 @@
 // Directory.
 
 /// The store is heard all the time until then.
-void hearStoreUntil(Directory &d, base::Instant until) {
+void keepStoreContactUntil(Directory &d, base::Instant until) {
   constexpr seconds While{12};
   for (base::Instant t = until - While; t <= until; t += milliseconds(500))
-    d.heardStore(t, until - While);
+    d.noteStoreContact(t, until - While);
 }
 
 TEST(Directory, LapsedEntriesHaveTimeToComeBackAfterAnOutage) {
   Directory d;
-  d.heardStore(Start, Start);
+  d.noteStoreContact(Start, Start);
   d.put(Start, server("s1"));
   d.put(Start, server("s2"));
   d.remove(Start + seconds(4), {"s1"});
   d.tick(Start + seconds(4));
   EXPECT_EQ(d.usable(Start + seconds(4), "llm").size(), 2U);
   const base::Instant back = Start + seconds(5);
-  d.heardStore(back, back);
+  d.noteStoreContact(back, back);
   d.replaceAll(back, {});
   EXPECT_EQ(d.usable(back, "llm").size(), 2U);
   d.put(back + seconds(1), server("s1"));
-  d.heardStore(back + seconds(2), back);
+  d.noteStoreContact(back + seconds(2), back);
   d.tick(back + Directory::GraceAfterReturn - milliseconds(1));
   EXPECT_EQ(d.usable(back + seconds(2), "llm").size(), 2U);
   d.tick(back + Directory::GraceAfterReturn + milliseconds(1));
@@ -131,7 +131,7 @@
   int told = 0;
   d.OnLeaving = [&](const Server &) { ++told; };
   d.put(Start, server("s1"));
-  hearStoreUntil(d, Start + seconds(9));
+  keepStoreContactUntil(d, Start + seconds(9));
   d.remove(Start + seconds(9), {"s1"});
   EXPECT_TRUE(d.usable(Start + seconds(9), "llm").empty());
   EXPECT_EQ(told, 1);
@@ -146,9 +146,9 @@
   Directory d;
   d.put(Start, server("s1"));
   d.put(Start, server("s2"));
-  // This gateway's own session is lost; another one says what it hears.
+  // This gateway's own session is lost; another one still reads the list.
   const base::Instant gone = Start + seconds(5);
-  hearStoreUntil(d, gone);
+  keepStoreContactUntil(d, gone);
   d.remove(gone, {"s1"}, Evidence::Gateway);
   const auto left = d.usable(gone, "llm");
   ASSERT_EQ(left.size(), 1U);
@@ -159,13 +159,13 @@
 /// for as long as after an outage of the store.
 TEST(Directory, WhoWasIsolatedIsToldThatThereWasNoOutage) {
   Directory d;
-  hearStoreUntil(d, Start);
+  keepStoreContactUntil(d, Start);
   d.put(Start, server("s1"));
   const base::Instant back = Start + seconds(8);
-  d.heardStore(back, back);
+  d.noteStoreContact(back, back);
   d.remove(back, {"s1"});
   EXPECT_EQ(d.usable(back, "llm").size(), 1U);
-  d.heardStore(back + milliseconds(100), Start - seconds(9));
+  d.noteStoreContact(back + milliseconds(100), Start - seconds(9));
   d.tick(back + milliseconds(100));
   EXPECT_TRUE(d.usable(back + milliseconds(100), "llm").empty());
   EXPECT_EQ(d.steadySince(), Start - seconds(9));
@@ -175,11 +175,11 @@
 /// second after its return (random runs, seed 80).
 TEST(Directory, TheGraceBeginsWithTheEarliestReturnOfTheStore) {
   Directory d;
-  hearStoreUntil(d, Start);
+  keepStoreContactUntil(d, Start);
   d.put(Start, server("s1"));
   const base::Instant failed = Start + seconds(4);
   const base::Instant back = failed + milliseconds(900);
-  d.heardStore(back, failed);
+  d.noteStoreContact(back, failed);
   d.remove(back, {"s1"});
   d.tick(failed + Directory::GraceAfterReturn - milliseconds(1));
   EXPECT_EQ(d.usable(back, "llm").size(), 1U);
@@ -192,13 +192,13 @@
   Directory d(milliseconds(1'000));
   int outages = 0;
   d.OnOutageOver = [&](base::Duration) { ++outages; };
-  hearStoreUntil(d, Start);
+  keepStoreContactUntil(d, Start);
   d.put(Start, server("s1"));
-  d.heardStore(Start + milliseconds(1'990), Start + milliseconds(1'990));
+  d.noteStoreContact(Start + milliseconds(1'990), Start + milliseconds(1'990));
   d.remove(Start + milliseconds(1'990), {"s1"});
   EXPECT_TRUE(d.usable(Start + milliseconds(1'990), "llm").empty());
   EXPECT_EQ(outages, 0);
-  d.heardStore(Start + milliseconds(4'000), Start + milliseconds(4'000));
+  d.noteStoreContact(Start + milliseconds(4'000), Start + milliseconds(4'000));
   EXPECT_EQ(outages, 1);
 }
 
@@ -206,8 +206,8 @@
 TEST(Directory, ChangesOfTheListSuffice) {
   Directory follower;
   Directory other;
-  hearStoreUntil(follower, Start);
-  hearStoreUntil(other, Start);
+  keepStoreContactUntil(follower, Start);
+  keepStoreContactUntil(other, Start);
   for (const char *id : {"s1", "s2"}) {
     follower.put(Start, server(id));
     other.put(Start, server(id));
@@ -237,7 +237,7 @@
 /// that the store has taken away since, and nothing would correct it.
 TEST(Directory, AnOlderChangeUndoesNothing) {
   Directory d;
-  hearStoreUntil(d, Start);
+  keepStoreContactUntil(d, Start);
   d.put(Start, listedAt("s1", 10));
   d.remove(Start, {"s1", 12});
   EXPECT_TRUE(d.usable(Start, "llm").empty());
@@ -255,7 +255,7 @@
 /// (random runs, seed 80).
 TEST(Directory, AnEmptyListOfAGatewayThatHasJustStartedTakesNothingAway) {
   Directory d;
-  hearStoreUntil(d, Start);
+  keepStoreContactUntil(d, Start);
   d.put(Start, listedAt("s1", 10));
   d.replaceAll(Start, {0, {}, {}}, Evidence::Gateway);
   EXPECT_EQ(d.usable(Start, "llm").size(), 1U);
@@ -266,7 +266,7 @@
 /// left.
 TEST(Directory, AChangeOfAnotherGatewayHoldsWhileThisOneHearsTheStore) {
   Directory d;
-  hearStoreUntil(d, Start);
+  keepStoreContactUntil(d, Start);
   d.put(Start, listedAt("s1", 10));
   d.remove(Start + milliseconds(50), {"s1", 11}, Evidence::Gateway);
   EXPECT_TRUE(d.usable(Start + milliseconds(50), "llm").empty());
@@ -277,7 +277,7 @@
 /// left on pwani-minutes scale-1, forecasts of 35,000 tokens for 34,000).
 TEST(Directory, AnOlderListOfAPeerTakesNothingAway) {
   Directory d;
-  hearStoreUntil(d, Start);
+  keepStoreContactUntil(d, Start);
   d.put(Start, listedAt("s1", 10));
   d.put(Start, listedAt("s2", 20));
   d.replaceAll(Start, {19, {listedAt("s1", 10)}, {}}, Evidence::Gateway);
@@ -346,14 +346,14 @@
   d.put(Start, bornAt(1'000, ServerState::Leaving));
   d.markLeaving(Start, {"s1", milliseconds(1'000)});
   ServerNotice earlier{bornAt(1'000), true, milliseconds(500)};
-  d.hearNotice(Start, earlier);
-  d.hearAvoided(Start, {"s1", 3, seconds(1), milliseconds(1'000)});
+  d.applyNotice(Start, earlier);
+  d.applyAvoided(Start, {"s1", 3, seconds(1), milliseconds(1'000)});
   EXPECT_EQ(d.usable(Start, "llm").size(), 1U);
   EXPECT_TRUE(d.avoided(Start).empty());
   EXPECT_EQ(d.find("s1")->Listed.BornAt, milliseconds(2'000));
   // A later life may be heard of from the process beside it first.
   ServerNotice later{bornAt(3'000), true, milliseconds(500)};
-  d.hearNotice(Start, later);
+  d.applyNotice(Start, later);
   EXPECT_TRUE(d.usable(Start, "llm").empty());
   EXPECT_EQ(d.find("s1")->GoneAt, Start + milliseconds(500));
   d.put(Start, bornAt(2'000));
@@ -373,13 +373,13 @@
   ServerNotice n = notice("s2", 2);
   n.IsLeaving = true;
   n.LeavesIn = milliseconds(1'700);
-  d.hearNotice(Start, n);
+  d.applyNotice(Start, n);
   EXPECT_FALSE(d.find("s1")->IsLeaving);
   EXPECT_TRUE(d.find("s2")->IsLeaving);
   EXPECT_FALSE(d.find("s2")->IsPlannedLeave);
   EXPECT_EQ(d.find("s2")->GoneAt, Start + milliseconds(1'700));
   // A repeated notice does not put it off.
-  d.hearNotice(Start + seconds(1), n);
+  d.applyNotice(Start + seconds(1), n);
   EXPECT_EQ(d.find("s2")->GoneAt, Start + milliseconds(1'700));
   EXPECT_EQ(d.leaving(Start + seconds(1)), std::vector<ServerLife>{{"s2"}});
   // What was told does not change what the list says.
@@ -391,9 +391,9 @@
 TEST(Directory, ANoticeBringsTheServerThatTookAnAddress) {
   Directory d;
   d.put(Start, server("s1", "llm", "a", 1));
-  d.hearNotice(Start, notice("s1", 1));
+  d.applyNotice(Start, notice("s1", 1));
   ASSERT_EQ(d.usable(Start, "llm").size(), 1U);
-  d.hearNotice(Start + seconds(1), notice("n1", 1));
+  d.applyNotice(Start + seconds(1), notice("n1", 1));
   const auto usable = d.usable(Start + seconds(1), "llm");
   ASSERT_EQ(usable.size(), 1U);
   EXPECT_EQ(usable[0]->Listed.Id, "n1");
@@ -406,10 +406,10 @@
   d.put(Start + seconds(2), server("n1", "llm", "a", 1));
   EXPECT_EQ(d.list().Servers.size(), 2U);
   // A notice without an id, or of an unknown one that leaves, says nothing.
-  d.hearNotice(Start, notice("", 3));
+  d.applyNotice(Start, notice("", 3));
   ServerNotice leaving = notice("n3", 3);
   leaving.IsLeaving = true;
-  d.hearNotice(Start, leaving);
+  d.applyNotice(Start, leaving);
   EXPECT_EQ(d.usable(Start + seconds(2), "llm").size(), 1U);
 }
 
@@ -419,7 +419,7 @@
   d.put(Start, server("s1", "llm", "a", 1));
   d.put(Start, server("n1", "llm", "a", 1));
   EXPECT_EQ(d.usable(Start, "llm").size(), 2U);
-  d.hearNotice(Start, notice("n1", 1));
+  d.applyNotice(Start, notice("n1", 1));
   const auto usable = d.usable(Start, "llm");
   ASSERT_EQ(usable.size(), 1U);
   EXPECT_EQ(usable[0]->Listed.Id, "n1");
@@ -457,16 +457,16 @@
   }
   here.note(Start, "s1", ServerOutcome::Broken);
   ASSERT_EQ(here.avoided(Start).size(), 1U);
-  there.hearAvoided(Start, here.avoided(Start)[0]);
+  there.applyAvoided(Start, here.avoided(Start)[0]);
   EXPECT_EQ(there.usable(Start, "llm").size(), 1U);
   EXPECT_EQ(there.usable(Start + seconds(2), "llm").size(), 2U);
   // Again: twice as long. What is known already does not put it off.
   there.note(Start + seconds(2), "s1", ServerOutcome::Broken);
   EXPECT_EQ(there.usable(Start + milliseconds(3'900), "llm").size(), 1U);
-  there.hearAvoided(Start + seconds(3), {"s1", 1, milliseconds(9'000)});
+  there.applyAvoided(Start + seconds(3), {"s1", 1, milliseconds(9'000)});
   EXPECT_EQ(there.usable(Start + milliseconds(4'100), "llm").size(), 2U);
   there.note(Start + seconds(5), "s1", ServerOutcome::Served);
-  EXPECT_EQ(there.find("s1")->Strikes, 0);
+  EXPECT_EQ(there.find("s1")->BrokenAnswers, 0);
 }
 
 TEST(Directory, DigestsTellListsApart) {
@@ -479,7 +479,7 @@
   EXPECT_EQ(a.digest(), b.digest());
   // What a gateway knows besides does not change what it was told.
   a.markLeaving(Start, {"s1"});
-  a.hearNotice(Start, notice("s9", 9));
+  a.applyNotice(Start, notice("s9", 9));
   EXPECT_EQ(a.digest(), b.digest());
   b.put(Start, server("s1", "llm", "a"));
   ListedServer leaving = server("s1");
@@ -778,9 +778,9 @@
 /// Engines that reset every request and say that they are well were tried again
 /// by long streams, several at once (lernwerk-ob-grown trouble-1, 25 lost).
 TEST_F(PlacementTest, AStruckEngineIsTriedByOneShortGenerationAtATime) {
-  Servers.put(Start, server("struck"));
+  Servers.put(Start, server("failing"));
   Servers.put(Start, server("busy"));
-  Servers.note(Start, "struck", ServerOutcome::Broken);
+  Servers.note(Start, "failing", ServerOutcome::Broken);
   for (RunId i = 0; i < 4; ++i) {
     LedgerRun r = run(i, "busy", 4'000);
     r.HasBegun = true;
@@ -792,11 +792,11 @@
         .Chosen->Listed.Id;
   };
   EXPECT_EQ(chosen(700), "busy");
-  EXPECT_EQ(chosen(20), "struck");
-  Runs.begin(run(9, "struck", 2'000, 40));
+  EXPECT_EQ(chosen(20), "failing");
+  Runs.begin(run(9, "failing", 2'000, 40));
   EXPECT_EQ(chosen(20), "busy");
-  Servers.note(later, "struck", ServerOutcome::Served);
-  EXPECT_EQ(chosen(700), "struck");
+  Servers.note(later, "failing", ServerOutcome::Served);
+  EXPECT_EQ(chosen(700), "failing");
 }
 
 /// Three engines of one zone left at once, and all their generations went to
--- a/test/sidecar-test.cc
+++ b/test/sidecar-test.cc
@@ -39,13 +39,13 @@
     Engine = std::move(value(engine));
     auto gateway = gateway::Datagrams::open(Io, GatewayAt);
     Gateway = std::move(value(gateway));
-    const auto hear = [this](std::string_view bytes,
+    const auto take = [this](std::string_view bytes,
                              const gateway::Datagrams::Sender &) {
       wire::Gossip message;
       message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()));
       Heard.push_back(message.notice());
     };
-    asio::co_spawn(Io, Gateway->receive(hear), asio::detached);
+    asio::co_spawn(Io, Gateway->receive(take), asio::detached);
     SidecarSettings settings{"sidecar", freeEndpoint(), EngineAt, "llm",
                              "a",       {GatewayAt}};
     SidecarAt = settings.Listen;
--- a/test/soak/faults.h
+++ b/test/soak/faults.h
@@ -34,7 +34,7 @@
   Faults(asio::io_context &io, Journal &journal, Deployment &deployment,
          Operators &operators, std::uint64_t seed);
 
-  /// Strikes until the time is over, and ends in calm.
+  /// BrokenAnswers until the time is over, and ends in calm.
   asio::awaitable<void> run(base::Instant until);
 
 private:
--- a/test/store-session-test.cc
+++ b/test/store-session-test.cc
@@ -196,7 +196,7 @@
     Listener = std::move(value(made));
   }
 
-  /// Says that it hears the store, and what has gone from the list.
+  /// Says that it reads the store, and what has gone from the list.
   void tell(const base::Endpoint &to, const std::string &gone) {
     wire::Gossip message;
     message.set_name("peer");
@@ -366,7 +366,7 @@
 
 /// Guards against a gateway that sends requests to a server that has left
 /// because it takes its own lost session for an outage of the store, though
-/// another gateway hears the store (issue 17, DRAIN).
+/// another gateway reads the store (issue 17, DRAIN).
 TEST_F(StoreSessionTest, AServerThatLeftGetsNothingFromAGatewayThatIsCutOff) {
   PeerStandIn peer(Io, {&One, &Two});
   startGateway({peer.Address});
