--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -227,6 +227,12 @@
     addAll(all, W.Runs.ownRuns());
     Socket->answer(from, all.SerializeAsString());
   }
+  takeRuns(now, message);
+  takeServers(now, message);
+  adoptListAge(now, message);
+}
+
+void Gossip::takeRuns(base::Instant now, const wire::Gossip &message) {
   std::vector<LedgerRun> runs;
   for (const wire::Run &run : message.runs())
     runs.push_back(fromWire(run));
@@ -236,6 +242,9 @@
         {message.ended_runs().begin(), message.ended_runs().end()});
   else
     W.Runs.takePeer(now, message.address(), std::move(runs));
+}
+
+void Gossip::takeServers(base::Instant now, const wire::Gossip &message) {
   for (const wire::ServerLife &life : message.leaving_servers())
     W.Servers.markLeaving(now, {life.id(), milliseconds(life.born_ms())});
   for (const wire::Avoided &avoided : message.avoided())
@@ -252,7 +261,6 @@
     W.Servers.put(now, listed, Evidence::Gateway);
   for (const wire::GoneServer &gone : message.gone_servers())
     W.Servers.remove(now, fromWire(gone), Evidence::Gateway);
-  adoptListAge(now, message);
 }
 
 /// A gateway that follows the store's list has the same one: it is as fresh
--- a/src/gateway/gossip.h
+++ b/src/gateway/gossip.h
@@ -37,6 +37,8 @@
   void take(std::string_view datagram, const Datagrams::Sender &from);
   void askBeside(const Server &server);
   void takeNotice(const wire::Gossip &message, const Datagrams::Sender &from);
+  void takeRuns(base::Instant now, const wire::Gossip &message);
+  void takeServers(base::Instant now, const wire::Gossip &message);
   void adoptListAge(base::Instant now, const wire::Gossip &message);
   asio::awaitable<void> tick();
   asio::awaitable<void> catchUp();
--- /dev/null
+++ b/support/mutants.sh
@@ -0,0 +1,94 @@
+#!/usr/bin/env bash
+# Plants one fault after another in a copy of the gateway and says which layer of
+# tests catches it: unit, random runs, soak.
+#
+#   mutants.sh                       # all, units and random runs
+#   mutants.sh --soak-seconds 45     # also the soak, seed 501, for each
+#   mutants.sh forbidden-retry ...   # some of them
+#
+# The last line counts those that nothing caught; the exit code is 1 then.
+set -u
+ROOT=$(cd "$(dirname "$0")/.." && pwd)
+SOAK_SECONDS=0
+if [ "${1:-}" = --soak-seconds ]; then
+  SOAK_SECONDS=$2
+  shift 2
+fi
+UNITS=(gateway-test platform-test sidecar-test forwarding-test store-session-test)
+PROGRAMS=(drumlanding-gateway drumlanding-sidecar fake-platform soak)
+SOAK_SEED=501
+
+# name | file | Perl substitution over the whole file
+MUTANTS=$(cat <<'LIST'
+forbidden-retry|include/drumlanding/gateway/attempt-policy.h|s/s\.Kind == RequestKind::Idempotent \|\|/true ||/
+not-run-unproven|include/drumlanding/gateway/attempt-policy.h|s/if \(isProven && !s\.MayHaveRun\)/if (true)/
+older-config-taken|src/gateway/world.cc|s/version <= Routes->config\(\)\.Version/version == Routes->config().Version/
+leaving-server-chosen|src/gateway/directory.cc|s/if \(server\.IsLeaving \|\| server\.Listed\.Service != service\)/if (server.Listed.Service != service)/
+silent-watch-kept|platform/store.cc|s/wait \+ WatchSlack\)/wait + 100 * WatchSlack)/
+early-end-looks-whole|src/gateway/stream-forwarder.cc|s/const bool isEnd = ok\(piece\) && !Run->Events\.hasRest\(\);/const bool isEnd = !Run->IsMoving;/
+sidecar-notice-lost|src/gateway/gossip.cc|s/  W\.Servers\.applyNotice\(now, fromWire\(message\.notice\(\)\)\);\n//
+unreadable-entry-hides-others|platform/source.cc|s/    changes\.Changes\.push_back\(std::move\(change\)\);/    if (!change.Problem.empty())\n      return base::invalid("servers", change.Problem);\n    changes.Changes.push_back(std::move(change));/
+life-confused|src/gateway/directory.cc|s/return a\.count\(\) > 0 && b\.count\(\) > 0 && a < b;/return false \&\& a < b;/
+own-loss-is-outage|src/gateway/gossip.cc|s/if \(message\.watches_list\(\)\)\n/if (false)\n/
+no-grace-after-outage|src/gateway/directory.cc|s/return now < GraceUntil \|\| now - StoreContactAt >= LapseTime;/return false \&\& now < GraceUntil;/
+older-change-taken|src/gateway/directory.cc|s/return revision != 0 && revision < server\.Revision;/return false \&\& revision < server.Revision;/
+retry-budget-ignored|src/gateway/retry-budget.cc|s/(size\(\)\) \+ 1 > allowed\))/size()) > 1e9 + allowed)/
+unknown-key-accepted|src/gateway/forwarder.cc|s/return plainAnswer\(401, "The key is missing or unknown\.\\n"\);/(void)0;/
+foreign-answer-passed|platform/dialect.cc|s/answer\.IsOwn = head\.header\(header::AttemptId\) == request\.AttemptId;/answer.IsOwn = true;/
+stop-waits-for-nothing|src/gateway/shell.cc|s/while \(W\.Open > 0 && W\.now\(\) < W\.stopAt\(\)\);/while (false);/
+LIST
+)
+
+WORK=$(mktemp -d)
+trap 'rm -rf "$WORK"' EXIT
+git -C "$ROOT" archive HEAD | tar -x -C "$WORK"
+cmake -S "$WORK" -B "$WORK/build" -G Ninja >"$WORK/cmake.log" 2>&1 || exit 2
+
+unit() {
+  local t
+  for t in "${UNITS[@]}"; do
+    timeout 120 "$WORK/build/$t" >"$WORK/$t.log" 2>&1 || {
+      echo "$t"
+      return
+    }
+  done
+}
+
+random() {
+  timeout 120 "$WORK/build/gateway-random-test" >"$WORK/random.log" 2>&1 ||
+    echo gateway-random-test
+}
+
+soak() {
+  [ "$SOAK_SECONDS" -gt 0 ] || return
+  mkdir -p "$WORK/soak"
+  "$WORK/build/soak" --programs "$WORK/build" --work "$WORK/soak" \
+    --seed $SOAK_SEED --seconds "$SOAK_SECONDS" --base_port 31000 \
+    >"$WORK/soak.log" 2>&1 || echo soak
+}
+
+missed=0
+while IFS='|' read -r name file change; do
+  [ $# -eq 0 ] || [[ " $* " == *" $name "* ]] || continue
+  cp "$WORK/$file" "$WORK/original"
+  perl -0pi -e "$change" "$WORK/$file"
+  if cmp -s "$WORK/original" "$WORK/$file"; then
+    echo "$name: the change does not fit the code"
+    missed=$((missed + 1))
+    continue
+  fi
+  targets=("${UNITS[@]}" gateway-random-test)
+  [ "$SOAK_SECONDS" -gt 0 ] && targets+=("${PROGRAMS[@]}")
+  if ninja -C "$WORK/build" "${targets[@]}" >"$WORK/build.log" 2>&1; then
+    by="unit:$(unit) random:$(random) soak:$(soak)"
+    echo "$name: $by"
+    [ "$by" = "unit: random: soak:" ] && missed=$((missed + 1))
+  else
+    echo "$name: does not build"
+    tail -5 "$WORK/build.log"
+    missed=$((missed + 1))
+  fi
+  cp "$WORK/original" "$WORK/$file"
+done <<<"$MUTANTS"
+echo "$missed not caught"
+[ "$missed" -eq 0 ]
