--- a/test/store-session-test.cc
+++ b/test/store-session-test.cc
@@ -210,6 +210,17 @@
     Socket->send(to, message.SerializeAsString());
   }
 
+  /// Says, as the process beside a server, that the server leaves.
+  void notify(const base::Endpoint &to, const CountingServer &server) {
+    wire::Gossip message;
+    wire::EngineNotice &notice = *message.mutable_notice();
+    notice.set_address(base::toString(server.Address));
+    notice.set_server(server.Id);
+    notice.set_service("shop");
+    notice.set_is_leaving(true);
+    Socket->send(to, message.SerializeAsString());
+  }
+
   base::Endpoint Address;
   std::vector<const CountingServer *> Listed;
   std::uint64_t ConfigVersion = 0;
@@ -473,5 +484,37 @@
   });
 }
 
+/// Guards against a gateway whose config goes back (mutants.sh,
+/// older-config-taken).
+TEST_F(StoreSessionTest, AnOlderConfigIsNeverTaken) {
+  startGateway();
+  runTest([&]() -> asio::awaitable<void> {
+    Store.put("op/config", config(3, {"/old/", "/new/"}));
+    co_await sleepFor(ConfigBound);
+    int status = co_await statusOf("/new/x");
+    EXPECT_EQ(status, 200);
+    Store.put("op/config", config(2, {"/old/"}));
+    co_await sleepFor(ConfigBound);
+    status = co_await statusOf("/new/x");
+    EXPECT_EQ(status, 200);
+  });
+}
+
+/// Guards against a sidecar's notice that is lost in the gateway (mutants.sh,
+/// sidecar-notice-lost).
+TEST_F(StoreSessionTest, AServerWhoseSidecarSaysThatItLeavesGetsNothing) {
+  PeerStandIn sidecar(Io, {});
+  startGateway();
+  runTest([&]() -> asio::awaitable<void> {
+    co_await call(4);
+    sidecar.notify(ControlAt, One);
+    while (!Gateway->world().Servers.find("s1")->IsLeaving)
+      co_await sleepFor(Step);
+    One.Requests = 0;
+    co_await call(10);
+    EXPECT_EQ(One.Requests, 0);
+  });
+}
+
 } // namespace
 } // namespace drumlanding::gateway
