--- a/test/soak/gateways.h
+++ b/test/soak/gateways.h
@@ -29,6 +29,10 @@
   int RefusedKey = 0;
   int RefusedInLife = 0;
   base::Instant RefusedAt{};
+  /// The newest key that it has accepted in that life, and when.
+  int AcceptedInLife = 0;
+  int AcceptedKey = 0;
+  base::Instant AcceptedAt{};
 };
 
 class Gateways {
