--- a/src/base/metrics.cc
+++ b/src/base/metrics.cc
@@ -61,6 +61,8 @@
     {"drumlanding_gateway_peers", "Other gateways heard of lately."},
     {"drumlanding_gateway_list_age_seconds",
      "Age of the list of backend servers."},
+    {"drumlanding_gateway_config_age_seconds",
+     "Time since the store last confirmed the config."},
     {"drumlanding_gateway_log_lines_dropped",
      "Lines of the log that nobody read in time."},
     {"process_resident_memory_bytes", "Resident memory."},
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -306,17 +306,31 @@
   }
 }
 
-void Gossip::recordFetchFailure(const Peer &from, std::string_view resource) {
+void Gossip::recordFetchFailure(const Peer &from, std::string_view resource,
+                                std::string_view why) {
   Ctx.GatewayPeers.recordFetchFailure(Ctx.now(), from);
-  Ctx.Log.write("peer-fetch-failed", {{"peer", from.Name}, {"what", resource}});
+  Ctx.Log.write("peer-fetch-failed",
+                {{"peer", from.Name}, {"what", resource}, {"why", why}});
 }
 
+namespace {
+
+/// Returns why a fetch failed, or an empty text if it succeeded.
+std::string fetchProblem(const base::Result<http::Response> &fetched) {
+  if (!ok(fetched))
+    return describe(error(fetched));
+  const int status = value(fetched).Status;
+  return status == HttpOk ? "" : "status " + std::to_string(status);
+}
+
+} // namespace
+
 asio::awaitable<void> Gossip::fetchConfig(Peer from) {
   http::Request request{"GET", std::string(ConfigPath), {}, {}};
   http::FetchResult fetched =
       co_await http::fetch(from.Address, std::move(request), FetchTimeout);
-  if (!ok(fetched.Outcome) || value(fetched.Outcome).Status != HttpOk) {
-    recordFetchFailure(from, "config");
+  if (const std::string why = fetchProblem(fetched.Outcome); !why.empty()) {
+    recordFetchFailure(from, "config", why);
     co_return;
   }
   Ctx.applyConfig(std::move(value(fetched.Outcome).Body), from.Name);
@@ -326,10 +340,13 @@
   http::Request request{"GET", std::string(ServersPath), {}, {}};
   http::FetchResult fetched =
       co_await http::fetch(from.Address, std::move(request), FetchTimeout);
+  if (const std::string why = fetchProblem(fetched.Outcome); !why.empty()) {
+    recordFetchFailure(from, "servers", why);
+    co_return;
+  }
   wire::ServerList list;
-  if (!ok(fetched.Outcome) || value(fetched.Outcome).Status != HttpOk ||
-      !list.ParseFromString(value(fetched.Outcome).Body)) {
-    recordFetchFailure(from, "servers");
+  if (!list.ParseFromString(value(fetched.Outcome).Body)) {
+    recordFetchFailure(from, "servers", "malformed list");
     co_return;
   }
   const base::Instant now = Ctx.now();
--- a/src/gateway/gossip.h
+++ b/src/gateway/gossip.h
@@ -44,7 +44,8 @@
   void adoptListAge(base::Instant now, const wire::Gossip &message);
   asio::awaitable<void> tickLoop();
   asio::awaitable<void> fetchLoop();
-  void recordFetchFailure(const Peer &from, std::string_view resource);
+  void recordFetchFailure(const Peer &from, std::string_view resource,
+                          std::string_view why);
   asio::awaitable<void> fetchConfig(Peer from);
   asio::awaitable<void> fetchServers(Peer from);
 
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -46,6 +46,14 @@
           base::toString(to), ec.message()};
 }
 
+/// Returns an error that tells how much of the response had been received.
+base::Error toReadError(const base::Endpoint &to, const error_code &ec,
+                        std::size_t bodyBytes) {
+  base::Error e = toError(to, ec);
+  e.Message += " after " + std::to_string(bodyBytes) + " bytes of the body";
+  return e;
+}
+
 asio::awaitable<error_code> connect(beast::tcp_stream &stream,
                                     const base::Endpoint &to) {
   error_code ec;
@@ -129,7 +137,8 @@
   co_await beast::http::async_read(stream, buffer, parser,
                                    asio::redirect_error(use_awaitable, ec));
   if (ec)
-    co_return FetchResult{true, toError(to, ec)};
+    co_return FetchResult{true,
+                          toReadError(to, ec, parser.get().body().size())};
   auto parsed = parser.release();
   Response response;
   response.Status = static_cast<int>(parsed.result_int());
