Tests: a large config on a slow link, failing on the current code

All three fail; the logs of the first: 'closed due to a timeout after 278528 bytes of the body', then a read every 700 ms that never ends.

--- a/test/store-session-test.cc
+++ b/test/store-session-test.cc
@@ -43,9 +43,47 @@
   return {"127.0.0.1", a.local_endpoint().port()};
 }
 
-asio::awaitable<void> sendJson(http::Exchange &x, Json body) {
-  http::Response response{200, "application/json", body.dump(), {}};
-  co_await x.send(std::move(response));
+/// Limits the rate of several senders together, as a VM's link limits what it
+/// receives.
+class LimitedLink {
+public:
+  LimitedLink(const base::Clock &clock, std::size_t bytesPerSecond)
+      : Clock(clock), BytesPerSecond(bytesPerSecond) {}
+
+  /// Waits until `bytes` have been transmitted after what others send.
+  asio::awaitable<void> transmit(std::size_t bytes) {
+    const base::Instant now = Clock.now().Steady;
+    const std::chrono::duration<double> time(
+        static_cast<double>(bytes) / static_cast<double>(BytesPerSecond));
+    FreeAt = std::max(FreeAt, now) +
+             std::chrono::duration_cast<base::Duration>(time);
+    co_await sleepFor(std::chrono::ceil<milliseconds>(FreeAt - now));
+  }
+
+private:
+  const base::Clock &Clock;
+  std::size_t BytesPerSecond;
+  base::Instant FreeAt{};
+};
+
+/// Sends a response; over a link, at the rate of the link.
+asio::awaitable<void> sendOver(LimitedLink *link, http::Exchange &x,
+                               std::string body) {
+  constexpr std::size_t PieceBytes = 16 << 10;
+  if (!link) {
+    http::Response response{200, "application/json", std::move(body), {}};
+    co_await x.send(std::move(response));
+    co_return;
+  }
+  bool isConnected = co_await x.beginBody(200, {});
+  for (std::size_t from = 0; isConnected && from < body.size();
+       from += PieceBytes) {
+    std::string piece = body.substr(from, PieceBytes);
+    co_await link->transmit(piece.size());
+    isConnected = co_await x.body(std::move(piece));
+  }
+  if (isConnected)
+    co_await x.endBody();
 }
 
 /// A fake of the platform's store: the part of its published interface that
@@ -72,6 +110,8 @@
   base::Endpoint Address;
   /// When set, calls are accepted and never answered.
   bool IsUnreachable = false;
+  /// When set, answers are sent at the rate of this link.
+  LimitedLink *Link = nullptr;
 
 private:
   struct Entry {
@@ -119,7 +159,7 @@
       answer = toJson(key, Entries[key]);
       answer["at"] = Revision;
     }
-    co_await sendJson(x, std::move(answer));
+    co_await sendOver(Link, x, answer.dump());
   }
 
   asio::awaitable<void> watch(const http::Request &request, http::Exchange &x) {
@@ -138,7 +178,7 @@
       events = entries(prefix, after, true);
     }
     Json answer{{"events", std::move(events)}, {"at", Revision}};
-    co_await sendJson(x, std::move(answer));
+    co_await sendOver(Link, x, answer.dump());
   }
 
   std::map<std::string, Entry> Entries;
@@ -230,6 +270,8 @@
   std::string ConfigText;
   /// When set, HTTP requests are accepted and never answered.
   bool IsSilent = false;
+  /// When set, answers are sent at the rate of this link.
+  LimitedLink *Link = nullptr;
 
 private:
   asio::awaitable<void> serve(http::Request request, http::Exchange &x) {
@@ -242,8 +284,7 @@
   }
 
   asio::awaitable<void> serveConfig(http::Exchange &x) {
-    http::Response response{200, "application/octet-stream", ConfigText, {}};
-    co_await x.send(std::move(response));
+    co_await sendOver(Link, x, ConfigText);
   }
 
   asio::awaitable<void> serveList(http::Exchange &x) {
@@ -280,6 +321,15 @@
   return json.dump();
 }
 
+/// Returns a config with `count` more routes, the last of which is "/last/".
+std::string largeConfig(int version, int count) {
+  std::vector<std::string> prefixes{"/old/"};
+  for (int i = 1; i < count; ++i)
+    prefixes.push_back("/more" + std::to_string(i) + "/");
+  prefixes.emplace_back("/last/");
+  return config(version, prefixes);
+}
+
 class StoreSessionTest : public testing::Test {
 protected:
   StoreSessionTest() {
@@ -488,6 +538,71 @@
   });
 }
 
+/// A link on which the large config takes 1.35 s to arrive from the store:
+/// longer than the time limit of any call to the store or to another gateway.
+class SlowLinkTest : public StoreSessionTest {
+protected:
+  static constexpr int RouteCount = 1'500;
+  static constexpr double TransferSeconds = 1.35;
+
+  static std::size_t linkRate() {
+    const std::string text = largeConfig(2, RouteCount);
+    return static_cast<std::size_t>(
+        static_cast<double>(platform::encodeValue(text).size()) /
+        TransferSeconds);
+  }
+
+  LimitedLink Link{Clock, linkRate()};
+};
+
+/// Guards against a gateway that abandons the transfer of a large config and
+/// starts it again, without end (issue 23, CONFIG).
+TEST_F(SlowLinkTest, ALargeConfigIsInForceInTime) {
+  startGateway();
+  runTest([&]() -> asio::awaitable<void> {
+    Store.Link = &Link;
+    Store.put("op/config", largeConfig(2, RouteCount));
+    co_await sleepFor(MaxConfigApplyTime);
+    const int status = co_await statusOf("/last/x");
+    EXPECT_EQ(status, 200);
+  });
+}
+
+/// Guards against a gateway that reads the same large config from the store and
+/// from another gateway at once, so that neither transfer ends in time (issue
+/// 23, CONFIG).
+TEST_F(SlowLinkTest, ALargeConfigIsNotTransferredTwiceAtOnce) {
+  FakePeer peer(Io, {&FirstServer, &SecondServer});
+  peer.ConfigText = largeConfig(2, RouteCount);
+  startGateway({peer.Address});
+  runTest([&]() -> asio::awaitable<void> {
+    constexpr milliseconds GossipInterval{100};
+    Store.Link = &Link;
+    peer.Link = &Link;
+    Store.put("op/config", peer.ConfigText);
+    peer.ConfigVersion = 2;
+    for (milliseconds t{0}; t < MaxConfigApplyTime; t += GossipInterval) {
+      co_await sleepFor(GossipInterval);
+      peer.sendGossip(ControlAddress, "");
+    }
+    const int status = co_await statusOf("/last/x");
+    EXPECT_EQ(status, 200);
+  });
+}
+
+/// Guards against a gateway that never becomes ready after a restart, because
+/// the config does not arrive within the time limit of a read (issue 23,
+/// CONFIG).
+TEST_F(SlowLinkTest, AGatewayStartsWithALargeConfig) {
+  Store.Link = &Link;
+  Store.put("op/config", largeConfig(2, RouteCount));
+  startGateway();
+  runTest([&]() -> asio::awaitable<void> {
+    const int status = co_await statusOf("/last/x");
+    EXPECT_EQ(status, 200);
+  });
+}
+
 /// Guards against a gateway that replaces its config with an older version
 /// (mutants.sh, older-config-taken).
 TEST_F(StoreSessionTest, AnOlderConfigIsNeverTaken) {
