http: Limit the time without progress of a transfer, not its duration

What callers saw: on VMs with 10 Mbit/s, 404 for routes that had been in force elsewhere for many seconds, and requests handled by an old version (CONFIG).

Cause: a read of the store had 700 ms and a fetch from another gateway one second in all. A config of 4,249 routes is 1.4 MB in the store's encoding and takes 1.1 s on such a link, so each call was abandoned half-way and started again at the first byte. Class: a limit on the duration of a transfer whose size grows and whose bandwidth is shared.

Evidence: front-ubungo-hall-6 received 1.0 to 1.2 MB/s for 20 s and took no config; the tests' logs show 'timeout after 278528 bytes of the body', then nothing but reads of 700 ms. Ruled out: refusals by the store (none counted), the processor (1% busy), a rejected text (no such line).

Small calls keep their total timeout.

ALargeConfigIsInForceInTime and AGatewayStartsWithALargeConfig failed before (404 after 2 s; not ready after 20 s) and pass. ATransferThatStopsHalfWayStartsAgain checks that a silent connection is still noticed.

--- a/include/drumlanding/http/http.h
+++ b/include/drumlanding/http/http.h
@@ -134,10 +134,29 @@
   base::Result<Response> Outcome;
 };
 
-/// Sends a request on a new connection and reads the response.
+/// Sends a request on a new connection and reads the response. The timeout
+/// covers the whole call, so use it only for small responses.
 asio::awaitable<FetchResult> fetch(base::Endpoint to, Request request,
                                    base::milliseconds timeout);
 
+/// Time limits of a call whose response may be large. How long a large response
+/// takes depends on the bandwidth, so that only a lack of progress is an error.
+struct TransferTimeouts {
+  /// For the connection attempt, and from the end of the request to the end of
+  /// the response's headers.
+  base::milliseconds Response;
+  /// For each write of the request and each read of the response's body.
+  base::milliseconds Idle;
+};
+
+/// Called before each read of a response's body.
+using ProgressHandler = std::function<void()>;
+
+/// Sends a request on a new connection and reads a response of any size.
+asio::awaitable<FetchResult> fetch(base::Endpoint to, Request request,
+                                   TransferTimeouts timeouts,
+                                   ProgressHandler onProgress = {});
+
 /// How a stream of events ended.
 struct StreamEnd {
   bool IsConnected = false;
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -25,7 +25,9 @@
 /// Interval of the checks for peers with a newer config or list and for expired
 /// state.
 constexpr milliseconds CheckInterval{200};
-constexpr milliseconds FetchTimeout{1'000};
+/// Limits for a config or a list, which take longer on a slow link.
+constexpr http::TransferTimeouts FetchTimeouts{milliseconds(1'000),
+                                               milliseconds(1'000)};
 /// One in this many full states carries the addresses of the live gateways.
 constexpr std::uint64_t FullStatesPerPeerList = 4;
 /// Maximum number of list changes that fit into a datagram with the rest of the
@@ -328,7 +330,7 @@
 asio::awaitable<void> Gossip::fetchConfig(Peer from) {
   http::Request request{"GET", std::string(ConfigPath), {}, {}};
   http::FetchResult fetched =
-      co_await http::fetch(from.Address, std::move(request), FetchTimeout);
+      co_await http::fetch(from.Address, std::move(request), FetchTimeouts);
   if (const std::string why = fetchProblem(fetched.Outcome); !why.empty()) {
     recordFetchFailure(from, "config", why);
     co_return;
@@ -339,7 +341,7 @@
 asio::awaitable<void> Gossip::fetchServers(Peer from) {
   http::Request request{"GET", std::string(ServersPath), {}, {}};
   http::FetchResult fetched =
-      co_await http::fetch(from.Address, std::move(request), FetchTimeout);
+      co_await http::fetch(from.Address, std::move(request), FetchTimeouts);
   if (const std::string why = fetchProblem(fetched.Outcome); !why.empty()) {
     recordFetchFailure(from, "servers", why);
     co_return;
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -6,6 +6,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <optional>
 
 namespace drumlanding::http {
 namespace {
@@ -16,6 +17,8 @@
 using boost::system::error_code;
 
 constexpr std::size_t MaxResponseBytes = 8 << 20;
+/// A transfer slower than this counts as stalled. A megabyte takes a minute.
+constexpr std::size_t MinBytesPerSecond = 16 << 10;
 
 beast::http::request<beast::http::string_body>
 toMessage(const base::Endpoint &to, Request request) {
@@ -119,33 +122,100 @@
 
 } // namespace
 
-asio::awaitable<FetchResult> fetch(base::Endpoint to, Request request,
-                                   base::milliseconds timeout) {
+namespace {
+
+using StringParser = beast::http::response_parser<beast::http::string_body>;
+using StringRequest = beast::http::request<beast::http::string_body>;
+/// Unset when the response timeout covers the whole call.
+using IdleTimeout = std::optional<base::milliseconds>;
+
+/// Sends a request. The idle timeout starts anew with each write.
+asio::awaitable<error_code> writeRequest(beast::tcp_stream &stream,
+                                         StringRequest message,
+                                         IdleTimeout idleTimeout) {
+  beast::http::request_serializer<beast::http::string_body> serializer(message);
+  error_code ec;
+  while (!serializer.is_done() && !ec) {
+    if (idleTimeout)
+      stream.expires_after(*idleTimeout);
+    co_await beast::http::async_write_some(
+        stream, serializer, asio::redirect_error(use_awaitable, ec));
+  }
+  co_return ec;
+}
+
+/// Reads the rest of a response. The idle timeout starts anew with each read.
+asio::awaitable<error_code> readBody(beast::tcp_stream &stream,
+                                     beast::flat_buffer &buffer,
+                                     StringParser &parser,
+                                     IdleTimeout idleTimeout,
+                                     const ProgressHandler &onProgress) {
+  using SteadyClock = std::chrono::steady_clock;
+  const auto startedAt = SteadyClock::now();
+  error_code ec;
+  while (!parser.is_done() && !ec) {
+    if (onProgress)
+      onProgress();
+    const std::chrono::seconds slowest(parser.get().body().size() /
+                                       MinBytesPerSecond);
+    if (idleTimeout)
+      stream.expires_at(std::min(SteadyClock::now(), startedAt + slowest) +
+                        *idleTimeout);
+    co_await beast::http::async_read_some(
+        stream, buffer, parser, asio::redirect_error(use_awaitable, ec));
+  }
+  co_return ec;
+}
+
+Response toResponse(StringParser::value_type message) {
+  Response response;
+  response.Status = static_cast<int>(message.result_int());
+  response.ContentType = std::string(message[beast::http::field::content_type]);
+  response.Headers = copyHeaders(message);
+  response.Body = std::move(message.body());
+  return response;
+}
+
+asio::awaitable<FetchResult> performCall(base::Endpoint to, Request request,
+                                         base::milliseconds responseTimeout,
+                                         IdleTimeout idleTimeout,
+                                         ProgressHandler onProgress) {
   beast::tcp_stream stream(co_await asio::this_coro::executor);
-  stream.expires_after(timeout);
+  stream.expires_after(responseTimeout);
   if (const error_code ec = co_await connect(stream, to); ec)
     co_return FetchResult{false, toError(to, ec)};
   auto message = toMessage(to, std::move(request));
-  error_code ec;
-  co_await beast::http::async_write(stream, message,
-                                    asio::redirect_error(use_awaitable, ec));
-  if (ec)
-    co_return FetchResult{true, toError(to, ec)};
+  error_code ec =
+      co_await writeRequest(stream, std::move(message), idleTimeout);
   beast::flat_buffer buffer;
-  beast::http::response_parser<beast::http::string_body> parser;
+  StringParser parser;
   parser.body_limit(MaxResponseBytes);
-  co_await beast::http::async_read(stream, buffer, parser,
-                                   asio::redirect_error(use_awaitable, ec));
+  if (idleTimeout)
+    stream.expires_after(responseTimeout);
+  if (!ec)
+    co_await beast::http::async_read_header(
+        stream, buffer, parser, asio::redirect_error(use_awaitable, ec));
+  if (!ec)
+    ec = co_await readBody(stream, buffer, parser, idleTimeout, onProgress);
   if (ec)
     co_return FetchResult{true,
                           toReadError(to, ec, parser.get().body().size())};
-  auto parsed = parser.release();
-  Response response;
-  response.Status = static_cast<int>(parsed.result_int());
-  response.ContentType = std::string(parsed[beast::http::field::content_type]);
-  response.Headers = copyHeaders(parsed);
-  response.Body = std::move(parsed.body());
-  co_return FetchResult{true, std::move(response)};
+  co_return FetchResult{true, toResponse(parser.release())};
+}
+
+} // namespace
+
+asio::awaitable<FetchResult> fetch(base::Endpoint to, Request request,
+                                   TransferTimeouts timeouts,
+                                   ProgressHandler onProgress) {
+  return performCall(std::move(to), std::move(request), timeouts.Response,
+                     timeouts.Idle, std::move(onProgress));
+}
+
+asio::awaitable<FetchResult> fetch(base::Endpoint to, Request request,
+                                   base::milliseconds timeout) {
+  return performCall(std::move(to), std::move(request), timeout, std::nullopt,
+                     {});
 }
 
 asio::awaitable<StreamEnd> stream(base::Endpoint to, Request request,
--- a/test/store-session-test.cc
+++ b/test/store-session-test.cc
@@ -66,9 +66,11 @@
   base::Instant FreeAt{};
 };
 
-/// Sends a response; over a link, at the rate of the link.
+/// Sends a response, at the rate of the link if there is one. Stops half-way
+/// and keeps the connection open once `isSilent` returns true.
 asio::awaitable<void> sendOver(LimitedLink *link, http::Exchange &x,
-                               std::string body) {
+                               std::string body,
+                               std::function<bool()> isSilent = {}) {
   constexpr std::size_t PieceBytes = 16 << 10;
   if (!link) {
     http::Response response{200, "application/json", std::move(body), {}};
@@ -80,6 +82,8 @@
        from += PieceBytes) {
     std::string piece = body.substr(from, PieceBytes);
     co_await link->transmit(piece.size());
+    if (isSilent && isSilent())
+      co_await sleepFor(TestLimit);
     isConnected = co_await x.body(std::move(piece));
   }
   if (isConnected)
@@ -178,7 +182,8 @@
       events = entries(prefix, after, true);
     }
     Json answer{{"events", std::move(events)}, {"at", Revision}};
-    co_await sendOver(Link, x, answer.dump());
+    co_await sendOver(Link, x, answer.dump(),
+                      [this, epoch] { return epoch != ConnectionEpoch; });
   }
 
   std::map<std::string, Entry> Entries;
@@ -568,6 +573,21 @@
   });
 }
 
+/// Guards against a gateway that waits for the rest of a transfer whose
+/// connection has gone silent.
+TEST_F(SlowLinkTest, ATransferThatStopsHalfWayStartsAgain) {
+  startGateway();
+  runTest([&]() -> asio::awaitable<void> {
+    Store.Link = &Link;
+    Store.put("op/config", largeConfig(2, RouteCount));
+    co_await sleepFor(milliseconds(500));
+    Store.silenceOpenConnections();
+    co_await sleepFor(MaxReconnectTime);
+    const int status = co_await statusOf("/last/x");
+    EXPECT_EQ(status, 200);
+  });
+}
+
 /// Guards against a gateway that reads the same large config from the store and
 /// from another gateway at once, so that neither transfer ends in time (issue
 /// 23, CONFIG).
