gateway: Transfer a config from one source at a time

Cause: a gateway whose watch of the store was returning a large config also fetched the same config from another gateway, which had announced it. Both transfers shared the link, and neither ended in time. Class: a redundant request whose cost falls on the resource that is short.

Change: no config is fetched from another gateway while one arrives from the store, a read of the store waits for one that arrives from another gateway, and a long watch is not abandoned while its response arrives. Only received bytes count, so that a silent source prevents nothing; a transfer that takes longer than the config may take to be in force does not prevent others either.

--- a/include/drumlanding/gateway/store-reader.h
+++ b/include/drumlanding/gateway/store-reader.h
@@ -48,9 +48,12 @@
   template <typename T>
   using AsyncResult = boost::asio::awaitable<base::Result<T>>;
 
-  std::function<AsyncResult<ConfigText>()> ReadConfig;
+  /// `onProgress` is called while the response arrives.
+  std::function<AsyncResult<ConfigText>(http::ProgressHandler onProgress)>
+      ReadConfig;
   std::function<AsyncResult<ConfigText>(std::uint64_t since,
-                                        base::milliseconds wait)>
+                                        base::milliseconds wait,
+                                        http::ProgressHandler onProgress)>
       WatchConfig;
   std::function<AsyncResult<ServerChanges>()> ReadServers;
   std::function<AsyncResult<ServerChanges>(std::uint64_t since,
--- a/src/gateway/gateway-context.h
+++ b/src/gateway/gateway-context.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "drumlanding/base/metrics.h"
+#include "drumlanding/gateway/config-transfer.h"
 #include "drumlanding/gateway/directory.h"
 #include "drumlanding/gateway/event-log.h"
 #include "drumlanding/gateway/peers.h"
@@ -85,6 +86,9 @@
   base::Instant ConfigConfirmedAt{};
   /// The encoded config in force, served to peers with an older one.
   std::string ConfigText;
+  /// Transfers of a config to this gateway, from the store and from a peer.
+  ConfigTransfer StoreTransfer{Settings.MaxConfigApplyTime};
+  ConfigTransfer PeerTransfer{Settings.MaxConfigApplyTime};
   /// When the server list was last confirmed by the store, either by this
   /// gateway or by a peer that shares the same list.
   base::Instant ListConfirmedAt{};
@@ -116,6 +120,10 @@
   bool hasStoreContact() const {
     return WatchesList && now() - ListReadAt < MaxListAge;
   }
+  /// Returns a handler that records the progress of a config's transfer.
+  http::ProgressHandler trackProgress(ConfigTransfer &transfer) const {
+    return [this, &transfer] { transfer.recordProgress(now()); };
+  }
   bool isReady() const { return Routes && !Servers.isEmpty() && !IsLeaving; }
   /// Returns when a stopping gateway exits, even if requests are still open.
   base::Instant stopDeadline() const {
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -300,7 +300,8 @@
     co_await sleepFor(CheckInterval);
     const base::Instant now = Ctx.now();
     const std::uint64_t version = Ctx.Routes ? Ctx.Routes->config().Version : 0;
-    if (const auto peer = Ctx.GatewayPeers.withNewerConfig(now, version))
+    const auto peer = Ctx.GatewayPeers.withNewerConfig(now, version);
+    if (peer && !Ctx.StoreTransfer.isActive(now))
       co_await fetchConfig(*peer);
     else if (const auto newer =
                  Ctx.GatewayPeers.withNewerList(now, Ctx.ListConfirmedAt))
@@ -330,7 +331,9 @@
 asio::awaitable<void> Gossip::fetchConfig(Peer from) {
   http::Request request{"GET", std::string(ConfigPath), {}, {}};
   http::FetchResult fetched =
-      co_await http::fetch(from.Address, std::move(request), FetchTimeouts);
+      co_await http::fetch(from.Address, std::move(request), FetchTimeouts,
+                           Ctx.trackProgress(Ctx.PeerTransfer));
+  Ctx.PeerTransfer.recordEnd();
   if (const std::string why = fetchProblem(fetched.Outcome); !why.empty()) {
     recordFetchFailure(from, "config", why);
     co_return;
--- a/src/gateway/store-watch.cc
+++ b/src/gateway/store-watch.cc
@@ -33,6 +33,8 @@
 /// changes: servers renew their entries constantly. A leaving server keeps
 /// serving for at least 2 s, so the delay loses no requests.
 constexpr milliseconds ChangeBatchDelay{400};
+/// Interval of the checks whether a peer has finished sending a config.
+constexpr milliseconds TransferCheckInterval{50};
 /// Delay before a resync after the history was compacted.
 constexpr milliseconds ResyncDelay{150};
 /// Initial and maximum backoff while the store is unreachable. The maximum is
@@ -148,8 +150,21 @@
   return std::clamp(wait, MinConfigWatchWait, MaxConfigWatchWait);
 }
 
+/// Reads the config, unless one is arriving from a peer: then waits for its
+/// end.
+StoreReader::AsyncResult<ConfigText> readConfig(GatewayContext &ctx) {
+  while (ctx.PeerTransfer.isActive(ctx.now()))
+    co_await sleepFor(TransferCheckInterval);
+  auto read =
+      co_await ctx.Store.ReadConfig(ctx.trackProgress(ctx.StoreTransfer));
+  ctx.StoreTransfer.recordEnd();
+  co_return read;
+}
+
+/// Waits until this gateway has to watch the store itself and no config is
+/// arriving from the store.
 asio::awaitable<void> waitUntilWatchingList(const GatewayContext &ctx) {
-  while (!ctx.WatchesList)
+  while (!ctx.WatchesList || ctx.StoreTransfer.isActive(ctx.now()))
     co_await sleepFor(RoleCheckInterval);
 }
 
@@ -157,12 +172,17 @@
 /// gateway has to watch the store itself, because its connection may be dead.
 StoreReader::AsyncResult<ConfigText>
 waitForConfigChange(GatewayContext &ctx, std::uint64_t revision) {
+  const auto onProgress = ctx.trackProgress(ctx.StoreTransfer);
   if (ctx.WatchesList) {
     const milliseconds wait = configWatchWait(ctx.Settings.MaxConfigApplyTime);
-    co_return co_await ctx.Store.WatchConfig(revision, wait);
+    auto change = co_await ctx.Store.WatchConfig(revision, wait, onProgress);
+    ctx.StoreTransfer.recordEnd();
+    co_return change;
   }
-  auto first = co_await (ctx.Store.WatchConfig(revision, RelayedWatchWait) ||
-                         waitUntilWatchingList(ctx));
+  auto first =
+      co_await (ctx.Store.WatchConfig(revision, RelayedWatchWait, onProgress) ||
+                waitUntilWatchingList(ctx));
+  ctx.StoreTransfer.recordEnd();
   if (first.index() == 0)
     co_return std::get<0>(std::move(first));
   co_return base::Error{base::ErrorCode::NotFound, "config",
@@ -206,7 +226,7 @@
 asio::awaitable<void> watchConfig(GatewayContext &ctx) {
   StoreHealth health(ctx, "config");
   for (;;) {
-    auto read = co_await ctx.Store.ReadConfig();
+    auto read = co_await readConfig(ctx);
     if (!ok(read)) {
       const milliseconds pause = health.recordFailure(error(read));
       co_await sleepFor(pause);
--- a/test/forwarding-test.cc
+++ b/test/forwarding-test.cc
@@ -258,16 +258,18 @@
 
   StoreReader storeReader() {
     StoreReader s;
-    s.ReadConfig = [this]() -> StoreReader::AsyncResult<ConfigText> {
+    s.ReadConfig = [this](const http::ProgressHandler &)
+        -> StoreReader::AsyncResult<ConfigText> {
       if (OnReadConfig)
         OnReadConfig();
       ConfigText text{1, HasConfig ? "config" : ""};
       co_return text;
     };
     s.WatchConfig =
-        WatchConfig ? WatchConfig : [](std::uint64_t, milliseconds) {
-          return never<ConfigText>();
-        };
+        WatchConfig ? WatchConfig
+                    : [](std::uint64_t, milliseconds, http::ProgressHandler) {
+                        return never<ConfigText>();
+                      };
     s.ReadServers = [this]() -> StoreReader::AsyncResult<ServerChanges> {
       ServerChanges all;
       for (const auto &server : Servers)
@@ -378,9 +380,7 @@
   base::SystemClock Clock;
   Config GatewayConfig;
   bool HasConfig = true;
-  std::function<StoreReader::AsyncResult<ConfigText>(std::uint64_t,
-                                                     milliseconds)>
-      WatchConfig;
+  decltype(StoreReader::WatchConfig) WatchConfig;
   std::function<void()> OnReadConfig;
   std::vector<std::unique_ptr<TestServer>> Servers;
   std::vector<ServerChange> Changes;
@@ -408,8 +408,9 @@
 /// times a second.
 TEST_F(ForwardingTest, ConfigIsRereadWithDelayAfterHistoryCompaction) {
   int reads = 0;
-  WatchConfig = [](std::uint64_t,
-                   milliseconds) -> StoreReader::AsyncResult<ConfigText> {
+  WatchConfig =
+      [](std::uint64_t, milliseconds,
+         http::ProgressHandler) -> StoreReader::AsyncResult<ConfigText> {
     co_return base::Error{base::ErrorCode::NotFound, "test",
                           "history compacted"};
   };
--- a/test/gateway-test.cc
+++ b/test/gateway-test.cc
@@ -1,6 +1,7 @@
 // Unit tests of the gateway's decision logic, without I/O and with simulated
 // time.
 #include "drumlanding/gateway/attempt-policy.h"
+#include "drumlanding/gateway/config-transfer.h"
 #include "drumlanding/gateway/directory.h"
 #include "drumlanding/gateway/event-log.h"
 #include "drumlanding/gateway/event-splitter.h"
@@ -1092,5 +1093,22 @@
   ::close(ends[1]);
 }
 
+/// Guards against a slow source that prevents a config from being read from any
+/// other one.
+TEST(ConfigTransfer, PreventsAnotherOneOnlyForSomeTime) {
+  const base::Instant start = Start;
+  ConfigTransfer transfer(milliseconds(2'000));
+  EXPECT_FALSE(transfer.isActive(start));
+  transfer.recordProgress(start);
+  transfer.recordProgress(start + milliseconds(1'900));
+  EXPECT_TRUE(transfer.isActive(start + milliseconds(1'999)));
+  EXPECT_FALSE(transfer.isActive(start + milliseconds(2'000)));
+  transfer.recordEnd();
+  transfer.recordProgress(start + milliseconds(3'000));
+  EXPECT_TRUE(transfer.isActive(start + milliseconds(3'001)));
+  transfer.recordEnd();
+  EXPECT_FALSE(transfer.isActive(start + milliseconds(3'002)));
+}
+
 } // namespace
 } // namespace drumlanding::gateway
