gateway: Spread fetches of a config over the peers that have it

Without the store, 25 gateways would share one link of 10 Mbit/s: 21 s for a config of 1 MB. Class: redundant load on the resource that is short.

Ties are now broken by a hash of both addresses. FetchesAreSpreadOverThePeers failed before (20 of 20 gateways asked the same peer; the test allows 6).

--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -4,6 +4,7 @@
 #include "gateway.pb.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace drumlanding::gateway {
 namespace {
@@ -110,15 +111,22 @@
 
 std::optional<Peer> Peers::leastRecentlyFailed(
     base::Instant now, const std::function<bool(const Peer &)> &matches) const {
+  // Ties are broken by a hash that differs between gateways, so that they do
+  // not all fetch from the same one.
+  const std::uint64_t own = base::hash64(base::toString(Options.Own));
+  using Rank = std::pair<base::Instant, std::uint64_t>;
   std::optional<Peer> first;
-  base::Instant firstFailedAt = base::Instant::max();
+  std::optional<Rank> firstRank;
   for (const Peer &peer : live(now)) {
-    const auto it = Contacts.find(base::toString(peer.Address));
-    const base::Instant failedAt = it->second.FailedAt;
-    if (!matches(peer) || failedAt >= firstFailedAt)
+    if (!matches(peer))
+      continue;
+    const std::string address = base::toString(peer.Address);
+    const Rank rank{Contacts.find(address)->second.FailedAt,
+                    base::hash64(address, own)};
+    if (firstRank && rank >= *firstRank)
       continue;
     first = peer;
-    firstFailedAt = failedAt;
+    firstRank = rank;
   }
   return first;
 }
--- a/test/gateway-test.cc
+++ b/test/gateway-test.cc
@@ -1041,6 +1041,24 @@
   EXPECT_EQ(others, 2);
 }
 
+/// Guards against gateways that all fetch a config from the same peer, whose
+/// link then determines how long it takes.
+TEST(Peers, FetchesAreSpreadOverThePeers) {
+  constexpr int Gateways = 20;
+  constexpr int Holders = 10;
+  std::map<std::string, int> fetches;
+  for (int i = 0; i < Gateways; ++i) {
+    const base::Endpoint own{"10.1.0." + std::to_string(i), 9};
+    Peers peers(Start, {"own", own, 1, {}});
+    for (int j = 0; j < Holders; ++j)
+      peers.recordMessage(Start,
+                          gossip("10.2.0." + std::to_string(j) + ":9", 2));
+    ++fetches[peers.withNewerConfig(Start, 1)->Name];
+  }
+  for (const auto &[peer, count] : fetches)
+    EXPECT_LE(count, Gateways / 3) << peer;
+}
+
 TEST(Peers, ALastMessageEndsThePeer) {
   Peers peers(Start, {"own", {"10.0.0.1", 9}, 1, {}});
   wire::Gossip message = gossip("10.0.0.2:9");
