gateway: Keep the limits that servers name, over all gateways together

What callers and servers saw: a server in need that had named 3.2 requests a second got 49 in four seconds, 24 allowed, and went on failing up to a half of them (LIMIT).

Cause: the header was not read. Ruled out: a limit kept by each gateway alone, since one gateway alone exceeded it; retries alone, since the first attempts exceeded it too.

Change: platform/ decodes the limit. Each gateway keeps a token bucket per limited server, filled at the server's rate, and takes a token for each request, retry and migration: its own, and those that the others report in their gossip, as a count that a lost, late or repeated message does not falsify. A gateway that hears only some of the others leaves the rest their shares. Servers at their limits are passed over; a request that fits nowhere is refused at once, with a Retry-After from the limit and a reason in the log. The end of a limit must come from a response to a request sent after it was named.

--- a/include/drumlanding/base/verdict.h
+++ b/include/drumlanding/base/verdict.h
@@ -50,7 +50,8 @@
   AnswerTooLarge,
   AnswerLost,
   TakenOver,
-  Last = TakenOver,
+  ServerLimit,
+  Last = ServerLimit,
 };
 
 /// The final response to a request that gets no complete one.
--- a/include/drumlanding/gateway/peers.h
+++ b/include/drumlanding/gateway/peers.h
@@ -84,6 +84,11 @@
   /// gateway watches it.
   bool shouldWatchList(base::Instant now) const;
 
+  /// Returns the fraction of the gateways that may be sending requests whose
+  /// messages arrive here, including this one. Drops within a second when
+  /// gateways cannot reach each other.
+  double heardFraction(base::Instant now) const;
+
   /// Returns how many gateways may be sending requests, including this one.
   /// Counts all recently seen ones, because an isolated gateway keeps sending,
   /// and assumes many just after the start, when no others have been seen yet.
--- a/include/drumlanding/gateway/placement.h
+++ b/include/drumlanding/gateway/placement.h
@@ -4,12 +4,16 @@
 ///   Choice c = p.chooseForGeneration(now, service, demand, tried);
 ///   Choice c = p.chooseForMigration(now, service, demand, source, tried);
 ///   const Server *s = p.chooseForRequest(now, "shop", tried, random);
+///
+/// Servers that have reached the limits that they name are not chosen.
 #pragma once
 
 #include "drumlanding/base/hash.h"
 #include "drumlanding/gateway/directory.h"
 #include "drumlanding/gateway/run-table.h"
+#include "drumlanding/gateway/server-limits.h"
 
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -32,8 +36,9 @@
 
 class Placement {
 public:
-  Placement(const Directory &directory, const RunTable &runs, std::string zone)
-      : Servers(directory), Runs(runs), Zone(std::move(zone)) {}
+  Placement(const Directory &directory, const RunTable &runs,
+            ServerLimits &limits, std::string zone)
+      : Servers(directory), Runs(runs), Limits(limits), Zone(std::move(zone)) {}
 
   /// Chooses an engine for a new generation, by the delay that the generation
   /// would encounter and cause there and by the available KV cache.
@@ -53,7 +58,18 @@
                                  std::span<const std::string> tried,
                                  base::Random &random) const;
 
+  /// Returns the time until a server of the service that has reached its limit
+  /// takes another request; none if no usable server has reached one.
+  std::optional<base::Duration>
+  timeUntilRoom(base::Instant now, std::string_view service,
+                std::span<const std::string> tried) const;
+
 private:
+  /// Returns the usable servers that are not in `tried` and have not reached
+  /// their limits.
+  std::vector<const Server *>
+  candidates(base::Instant now, std::string_view service,
+             std::span<const std::string> tried) const;
   /// Returns the engine with the lowest sum of engine and network cost.
   template <typename NetworkCost>
   Choice choose(base::Instant now, const Service &service, const Demand &demand,
@@ -62,6 +78,7 @@
 
   const Directory &Servers;
   const RunTable &Runs;
+  ServerLimits &Limits;
   std::string Zone;
 };
 
--- a/include/drumlanding/gateway/protocol-codec.h
+++ b/include/drumlanding/gateway/protocol-codec.h
@@ -72,6 +72,11 @@
   bool HasNotRun = false;
   /// Another server than the intended one answered at this address.
   bool IsWrongServer = false;
+  /// The requests per second that the server takes from all gateways together;
+  /// unset when it names no limit.
+  std::optional<double> RequestLimit;
+  /// The response names a limit that cannot be read.
+  bool HasMalformedLimit = false;
   /// Headers to forward to the client.
   std::vector<http::Header> Headers;
 };
--- a/src/base/metrics.cc
+++ b/src/base/metrics.cc
@@ -57,6 +57,9 @@
      "Steps of moves of generations, by step and whether they were done."},
     {"drumlanding_gateway_retries_total",
      "Second sends asked of the retry budget, by service and whether granted."},
+    {"drumlanding_gateway_limits_reached_total",
+     "Requests that did not fit a server's limit, by service and whether they "
+     "were placed elsewhere."},
     {"drumlanding_gateway_open_requests", "Requests being answered now."},
     {"drumlanding_gateway_peers", "Other gateways heard of lately."},
     {"drumlanding_gateway_list_age_seconds",
--- a/src/base/verdict.cc
+++ b/src/base/verdict.cc
@@ -60,6 +60,8 @@
     {Reason::TakenOver, "taken-over", 409,
      "Another connection follows this stream now."},
     {Reason::AnswerLost, "answer-lost", 502, "The answer was lost."},
+    {Reason::ServerLimit, "server-limit", 503,
+     "Every backend server has reached the request rate that it allows."},
 };
 
 const ReasonRow &findRow(Reason r) {
--- a/src/ctl/explain.cc
+++ b/src/ctl/explain.cc
@@ -59,6 +59,10 @@
   return scope;
 }
 
+constexpr const char *ServerLimitsCause =
+    "Each usable backend server of its service had reached the request rate "
+    "that it allows.";
+
 const LogLine *findLast(Lines lines, std::string_view event) {
   const LogLine *last = nullptr;
   for (const LogLine &line : lines)
@@ -115,6 +119,8 @@
     return "The caller disconnected.";
   if (how == "no server")
     return "No backend server of its service was usable.";
+  if (how == "server limits")
+    return ServerLimitsCause;
   if (how == "answered")
     return "Each server that it was sent to reported that it did not run it, "
            "or failed.";
@@ -133,6 +139,8 @@
   case 502:
     return "It was sent and no complete response arrived: it may have run.";
   case 503:
+    if (end.text("why") == "server limits")
+      return ServerLimitsCause;
     return end.text("why") == "not admitted"
                ? "The gateway had no config, or was stopping."
                : "No server accepted it, and it did not run.";
--- a/src/gateway/forwarded-request.cc
+++ b/src/gateway/forwarded-request.cc
@@ -28,6 +28,8 @@
 /// Retry-After while the gateway has no config: it first has to read one from
 /// the store or from a peer.
 constexpr milliseconds NotReadyRetryAfter{1'000};
+/// Shortest Retry-After; less is rounded to zero.
+constexpr milliseconds MinRetryAfter{10};
 /// Retry-After when this gateway is stopping: another gateway can serve the
 /// request immediately.
 constexpr milliseconds LeavingRetryAfter{20};
@@ -81,6 +83,44 @@
   co_return value(opened);
 }
 
+void countTowardsLimit(GatewayContext &ctx, const std::string &server) {
+  if (ctx.Limits.recordSend(ctx.now(), server) && ctx.NotifyPeers)
+    ctx.NotifyPeers();
+}
+
+std::optional<base::Duration> logReachedLimits(ForwardedRequest &f,
+                                               const Server *chosen) {
+  const auto wait = f.Ctx.Placer.timeUntilRoom(
+      f.Ctx.now(), f.ChosenService->Name, f.TriedServers);
+  if (!wait)
+    return std::nullopt;
+  countReachedLimit(f.Ctx.Metrics, f.ChosenService->Name, chosen != nullptr);
+  f.Ctx.Log.write(
+      "limit-reached",
+      {{"request", f.Request.AttemptId},
+       {"service", f.ChosenService->Name},
+       {"placed", chosen ? std::string_view(chosen->Listed.Id) : ""},
+       {"wait_ms", base::toMs(*wait)}});
+  return wait;
+}
+
+void recordLimit(ForwardedRequest &f, const Server &server,
+                 const ServerResponse &response) {
+  if (response.IsWrongServer)
+    return;
+  if (response.HasMalformedLimit) {
+    f.Ctx.Log.write("malformed-limit", {{"request", f.Request.AttemptId},
+                                        {"server", server.Listed.Id}});
+    return;
+  }
+  // The end of a limit must come from the server itself.
+  if (!response.RequestLimit && !response.IsStamped && !response.HasNotRun)
+    return;
+  const ServerInstance instance{server.Listed.Id, server.Listed.StartedAt};
+  f.Ctx.Limits.recordResponse(f.Ctx.now(),
+                              {instance, f.SentAt, response.RequestLimit});
+}
+
 void sendTo(ForwardedRequest &f, const Server &server,
             const std::optional<ResumePoint> &from) {
   RequestMetadata order;
@@ -92,19 +132,22 @@
     order.Priority = f.priority();
   order.ResumeFrom = from;
   ++f.Arrivals;
+  f.SentAt = f.Ctx.now();
   f.Connection->send(f.Ctx.Codec.EncodeServerRequest(f.Request, order));
 }
 
 asio::awaitable<std::optional<ServerResponse>>
-readMatchingHead(ForwardedRequest &f) {
+readMatchingHead(ForwardedRequest &f, Server server) {
   for (int i = 0; i < MaxForeignResponses; ++i) {
     auto head = co_await f.Connection->readHead();
     if (!ok(head))
       co_return std::nullopt;
     ServerResponse answer =
         f.Ctx.Codec.DecodeResponseHead(f.Request, value(head));
-    if (answer.MatchesAttempt || answer.HasNotRun)
+    if (answer.MatchesAttempt || answer.HasNotRun) {
+      recordLimit(f, server, answer);
       co_return answer;
+    }
     f.Ctx.Log.write("foreign-answer", {{"request", f.Request.AttemptId}});
     const auto skipped = co_await readBody(f);
     if (!skipped)
@@ -160,8 +203,16 @@
   });
 }
 
-http::Response makeRefusal(const ForwardedRequest &f, Verdict verdict,
-                           Reason reason) {
+namespace {
+
+void addRetryAfter(http::Response &response, base::Duration wait) {
+  response.Headers.push_back(
+      {"Retry-After",
+       fmt::format("{:.2f}", std::chrono::duration<double>(wait).count())});
+}
+
+http::Response makeRefusalWithWait(const ForwardedRequest &f, Verdict verdict,
+                                   Reason reason, base::Duration wait) {
   constexpr int NotRunStatus = 503;
   constexpr int ExpiredStatus = 504;
   constexpr int MayHaveRunStatus = 502;
@@ -174,17 +225,28 @@
   response.ContentType = "text/plain";
   response.Body = std::string(base::describe(reason)) + "\n";
   if (verdict == Verdict::NotRun)
-    response.Headers.push_back(
-        {"Retry-After",
-         fmt::format(
-             "{:.2f}",
-             std::chrono::duration<double>(retryAfter(reason)).count())});
+    addRetryAfter(response, wait);
   response.Headers.push_back(
       {"Drumlanding-Verdict", std::string(toString(verdict))});
   f.Ctx.Codec.AddAttemptId(f.Request, response);
   return response;
 }
 
+} // namespace
+
+http::Response makeRefusal(const ForwardedRequest &f, Verdict verdict,
+                           Reason reason) {
+  return makeRefusalWithWait(f, verdict, reason, retryAfter(reason));
+}
+
+http::Response makeNoServerRefusal(const ForwardedRequest &f,
+                                   std::optional<base::Duration> wait) {
+  if (!wait)
+    return makeRefusal(f, Verdict::NotRun, Reason::NoBackendServer);
+  return makeRefusalWithWait(f, Verdict::NotRun, Reason::ServerLimit,
+                             std::max<base::Duration>(*wait, MinRetryAfter));
+}
+
 http::Response toResponse(CompleteResponse answer) {
   http::Response response;
   response.Status = answer.Head.Status;
--- a/src/gateway/forwarded-request.h
+++ b/src/gateway/forwarded-request.h
@@ -42,6 +42,8 @@
   /// Servers that the request was sent to or that were unreachable.
   std::vector<std::string> TriedServers;
   int Sends = 0;
+  /// When the request was last sent.
+  base::Instant SentAt{};
   /// How often the request was sent to an address, including those where
   /// another server answered.
   int Arrivals = 0;
@@ -82,14 +84,29 @@
 asio::awaitable<std::shared_ptr<http::Connection>>
 connectTo(ForwardedRequest &f, Server server);
 
+/// Counts the request towards the limit of the server that it is about to be
+/// sent to.
+void countTowardsLimit(GatewayContext &ctx, const std::string &server);
+
+/// If servers of the request's service have reached their limits, logs this and
+/// where the request was placed instead: at `chosen`, or nowhere if it is null.
+/// Returns the time until one of them takes another request.
+std::optional<base::Duration> logReachedLimits(ForwardedRequest &f,
+                                               const Server *chosen);
+
+/// Records the limit that a server's response names.
+void recordLimit(ForwardedRequest &f, const Server &server,
+                 const ServerResponse &response);
+
 /// Sends the request. From then on it may have run.
 void sendTo(ForwardedRequest &f, const Server &server,
             const std::optional<ResumePoint> &from);
 
-/// Reads response heads until one belongs to this request. Returns nullopt when
-/// the connection fails or MaxForeignResponses others came first.
+/// Reads response heads until one belongs to this request, and records the
+/// limit that it names. Returns nullopt when the connection fails or
+/// MaxForeignResponses others came first.
 asio::awaitable<std::optional<ServerResponse>>
-readMatchingHead(ForwardedRequest &f);
+readMatchingHead(ForwardedRequest &f, Server server);
 
 /// Reads the body to its end; returns nullopt when it is truncated.
 asio::awaitable<std::optional<std::string>> readBody(ForwardedRequest &f);
@@ -108,6 +125,11 @@
 http::Response makeRefusal(const ForwardedRequest &f, base::Verdict verdict,
                            base::Reason reason);
 
+/// Builds the response to a request for which no server was chosen. `wait` is
+/// the time until a server that has reached its limit takes another request.
+http::Response makeNoServerRefusal(const ForwardedRequest &f,
+                                   std::optional<base::Duration> wait);
+
 /// Converts a server's response to the response to the caller.
 http::Response toResponse(CompleteResponse answer);
 
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -110,7 +110,7 @@
   attempt.End = AttemptOutcome::Incomplete;
   attempt.Cause = "no whole answer";
   sendTo(f, server, std::nullopt);
-  auto head = co_await readMatchingHead(f);
+  auto head = co_await readMatchingHead(f, server);
   if (!head)
     co_return attempt;
   auto body = co_await readBody(f);
@@ -126,13 +126,15 @@
                                              http::Exchange &x) {
   const Server *next = chooseServer(f);
   for (;;) {
+    const auto wait = logReachedLimits(f, next);
     if (!next) {
-      logRequestEnd(f, 503, "no server");
-      co_await x.send(makeRefusal(f, Verdict::NotRun, Reason::NoBackendServer));
+      logRequestEnd(f, 503, wait ? "server limits" : "no server");
+      co_await x.send(makeNoServerRefusal(f, wait));
       co_return;
     }
     const Server server = *next;
     const std::string id = server.Listed.Id;
+    countTowardsLimit(Ctx, id);
     Ctx.Servers.requestStarted(id);
     Attempt attempt = co_await attemptCall(f, server);
     Ctx.Servers.requestEnded(id);
--- a/src/gateway/gateway-context.h
+++ b/src/gateway/gateway-context.h
@@ -13,6 +13,7 @@
 #include "drumlanding/gateway/retry-budget.h"
 #include "drumlanding/gateway/routes.h"
 #include "drumlanding/gateway/run-table.h"
+#include "drumlanding/gateway/server-limits.h"
 #include "drumlanding/gateway/store-reader.h"
 
 #include <boost/asio/io_context.hpp>
@@ -61,8 +62,9 @@
                  StoreReader store)
       : Io(io), Clock(clock), Settings(std::move(settings)),
         Codec(std::move(codec)), Store(std::move(store)), Log(Settings.Name),
-        Servers(Settings.RenewalInterval), Placer(Servers, Runs, Settings.Zone),
-        Budget(Settings.Retries), Random(base::secureRandom64()),
+        Servers(Settings.RenewalInterval),
+        Placer(Servers, Runs, Limits, Settings.Zone), Budget(Settings.Retries),
+        Random(base::secureRandom64()),
         GatewayPeers(now(), {Settings.Name, Settings.ControlListen, Incarnation,
                              Settings.Seeds}) {}
 
@@ -75,6 +77,7 @@
   base::Metrics Metrics;
   Directory Servers;
   RunTable Runs;
+  ServerLimits Limits{base::Random(base::secureRandom64()).unit()};
   Placement Placer;
   RetryBudget Budget;
   base::Random Random;
--- a/src/gateway/gateway-metrics.cc
+++ b/src/gateway/gateway-metrics.cc
@@ -50,6 +50,13 @@
       {{"service", std::string(service)}, {"granted", boolLabel(isGranted)}});
 }
 
+void countReachedLimit(base::Metrics &metrics, std::string_view service,
+                       bool isPlaced) {
+  metrics.count(
+      "drumlanding_gateway_limits_reached_total",
+      {{"service", std::string(service)}, {"placed", boolLabel(isPlaced)}});
+}
+
 void countStoreCall(base::Metrics &metrics, std::string_view resource,
                     bool isAnswered) {
   metrics.count(
--- a/src/gateway/gateway-metrics.h
+++ b/src/gateway/gateway-metrics.h
@@ -36,6 +36,11 @@
 void countRetry(base::Metrics &metrics, std::string_view service,
                 bool isGranted);
 
+/// Counts a request for which servers at their limits were passed over: it was
+/// placed elsewhere or refused.
+void countReachedLimit(base::Metrics &metrics, std::string_view service,
+                       bool isPlaced);
+
 /// Counts a call to the store for a resource, "config" or "servers".
 void countStoreCall(base::Metrics &metrics, std::string_view resource,
                     bool isAnswered);
--- a/src/gateway/gossip-messages.cc
+++ b/src/gateway/gossip-messages.cc
@@ -45,6 +45,26 @@
   return out;
 }
 
+wire::ServerLimit toWire(const LimitReport &report) {
+  wire::ServerLimit out;
+  out.set_id(report.Server.Id);
+  out.set_born_ms(static_cast<std::uint64_t>(report.Server.StartedAt.count()));
+  out.set_requests_per_second(report.RequestsPerSecond.value_or(0));
+  out.set_age_ms(static_cast<std::uint64_t>(base::toMs(report.Age)));
+  out.set_sends(report.Sends);
+  return out;
+}
+
+LimitReport fromWire(const wire::ServerLimit &limit) {
+  LimitReport out;
+  out.Server = {limit.id(), milliseconds(limit.born_ms())};
+  if (limit.requests_per_second() > 0)
+    out.RequestsPerSecond = limit.requests_per_second();
+  out.Age = milliseconds(limit.age_ms());
+  out.Sends = limit.sends();
+  return out;
+}
+
 wire::GoneServer toWire(const RemovedServer &removed) {
   wire::GoneServer out;
   out.set_id(removed.Id);
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -107,6 +107,8 @@
       *message.add_runs() = toWire(run);
     for (const RunId id : delta.Ended)
       message.add_ended_runs(id);
+    for (const LimitReport &report : Ctx.Limits.takeChangedReports(now))
+      *message.add_limits() = toWire(report);
   }
   addListDelta(message);
   broadcast(message);
@@ -164,6 +166,8 @@
                           std::span<const TrackedRun> runs) {
   for (const TrackedRun &run : runs)
     *message.add_runs() = toWire(run);
+  for (const LimitReport &report : Ctx.Limits.reports(Ctx.now()))
+    *message.add_limits() = toWire(report);
   // Traffic between zones is billed, so only some messages carry addresses.
   if (FullStateCount++ % FullStatesPerPeerList != 0)
     return;
@@ -240,6 +244,9 @@
   }
   applyRuns(now, message);
   applyServers(now, message);
+  for (const wire::ServerLimit &limit : message.limits())
+    Ctx.Limits.applyReport(now, {message.address(), message.incarnation()},
+                           fromWire(limit));
   adoptListAge(now, message);
 }
 
@@ -291,6 +298,9 @@
     const base::Instant now = Ctx.now();
     Ctx.Runs.tick(now);
     Ctx.Servers.tick(now);
+    Ctx.Limits.evict(now, [this](std::string_view id) {
+      return Ctx.Servers.find(id) != nullptr;
+    });
     Ctx.WatchesList = Ctx.GatewayPeers.shouldWatchList(now);
   }
 }
--- a/src/gateway/migrator.cc
+++ b/src/gateway/migrator.cc
@@ -271,6 +271,8 @@
       break;
     const Server to = *choice.Chosen;
     tried.push_back(to.Listed.Id);
+    countTowardsLimit(Ctx, to.Listed.Id);
+    run->CountedServer = to.Listed.Id;
     announceCopy(run, to.Listed.Id);
     countMigrationStep(Ctx.Metrics, "begun", true);
     Ctx.Log.write("move-begun",
--- a/src/gateway/migrator.h
+++ b/src/gateway/migrator.h
@@ -34,6 +34,8 @@
   /// Where the stream resumes after the source has stopped the run.
   std::optional<ResumePoint> ResumeFrom;
   std::string ResumeServer;
+  /// The destination whose limit already includes the resumed request.
+  std::string CountedServer;
   base::Instant StoppedAt{};
   /// Cancelled when a migration ends.
   asio::steady_timer MigrationEnded;
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -15,6 +15,9 @@
 /// Time since its last message for which a gateway still counts towards shared
 /// limits.
 constexpr base::seconds SharedLimitTimeout{15};
+/// A gateway whose messages are missing for longer than two of them may be
+/// sending requests that are not reported here.
+constexpr base::milliseconds MaxSilence{1'000};
 /// Discovery takes up to this long after the start; until then, this many
 /// gateways are assumed (a site of 100 VMs has about 30).
 constexpr base::seconds DiscoveryTime{4};
@@ -158,6 +161,22 @@
   return lowerHashes < WatcherCount || watching == 0;
 }
 
+double Peers::heardFraction(base::Instant now) const {
+  int heard = 1;
+  int sending = 1;
+  for (const auto &[address, contact] : Contacts) {
+    const base::Instant seenAt = contact.Gateway.LastSeenAt;
+    if (seenAt == base::Instant{} || !contact.HasAnswered ||
+        now - seenAt >= SharedLimitTimeout)
+      continue;
+    ++sending;
+    heard += now - seenAt < MaxSilence ? 1 : 0;
+  }
+  if (now - StartedAt < DiscoveryTime)
+    sending = std::max(sending, AssumedGateways);
+  return static_cast<double>(heard) / sending;
+}
+
 int Peers::gatewayCount(base::Instant now) const {
   const auto n =
       std::count_if(Contacts.begin(), Contacts.end(), [&](const auto &entry) {
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -87,6 +87,31 @@
 
 } // namespace
 
+std::vector<const Server *>
+Placement::candidates(base::Instant now, std::string_view service,
+                      std::span<const std::string> tried) const {
+  std::vector<const Server *> servers = Servers.usable(now, service);
+  std::erase_if(servers, [&](const Server *server) {
+    return wasTried(tried, server->Listed.Id) ||
+           !Limits.hasRoom(now, server->Listed.Id);
+  });
+  return servers;
+}
+
+std::optional<base::Duration>
+Placement::timeUntilRoom(base::Instant now, std::string_view service,
+                         std::span<const std::string> tried) const {
+  std::optional<base::Duration> shortest;
+  for (const Server *server : Servers.usable(now, service)) {
+    if (wasTried(tried, server->Listed.Id))
+      continue;
+    const base::Duration wait = Limits.timeUntilRoom(now, server->Listed.Id);
+    if (wait > base::Duration(0) && (!shortest || wait < *shortest))
+      shortest = wait;
+  }
+  return shortest;
+}
+
 template <typename NetworkCost>
 Choice Placement::choose(base::Instant now, const Service &service,
                          const Demand &demand,
@@ -96,9 +121,7 @@
   const EngineTraits engine = service.Engine.value_or(EngineTraits());
   const auto loads = Runs.loads();
   Choice best;
-  for (const Server *server : Servers.usable(now, service.Name)) {
-    if (wasTried(tried, server->Listed.Id))
-      continue;
+  for (const Server *server : candidates(now, service.Name, tried)) {
     ++best.Candidates;
     const auto it = loads.find(server->Listed.Id);
     const EngineLoad load = it == loads.end() ? EngineLoad() : it->second;
@@ -141,9 +164,7 @@
                                           base::Random &random) const {
   const Server *best = nullptr;
   double bestRank = 0;
-  for (const Server *server : Servers.usable(now, service)) {
-    if (wasTried(tried, server->Listed.Id))
-      continue;
+  for (const Server *server : candidates(now, service, tried)) {
     // Both terms stay below one open request: the zone counts first, then
     // chance.
     const double zonePenalty = server->Listed.Zone == Zone ? 0 : 0.5;
--- a/src/gateway/shell.cc
+++ b/src/gateway/shell.cc
@@ -32,6 +32,20 @@
       Ctx.NotifyPeers();
   };
   Ctx.Runs.OnChange = [this] { Migrations.onRunsChanged(); };
+  Ctx.Limits.AvailableShare = [this](base::Instant now) {
+    return Ctx.GatewayPeers.heardFraction(now);
+  };
+  Ctx.Limits.OnChange = [this](const LimitReport &limit,
+                               std::string_view source) {
+    Ctx.Log.write("server-limit",
+                  {{"server", limit.Server.Id},
+                   {"is_limited", limit.RequestsPerSecond.has_value()},
+                   {"per_second", limit.RequestsPerSecond.value_or(0)},
+                   {"source", source},
+                   {"age_ms", base::toMs(limit.Age)}});
+    if (Ctx.NotifyPeers)
+      Ctx.NotifyPeers();
+  };
   Ctx.Servers.OnOutageEnd = [this](base::Duration length) {
     Ctx.Log.write("store-outage-over", {{"ms", base::toMs(length)}});
   };
--- a/src/gateway/stream-forwarder.cc
+++ b/src/gateway/stream-forwarder.cc
@@ -95,7 +95,7 @@
   attempt.End = AttemptOutcome::Incomplete;
   attempt.Cause = "no head";
   sendTo(F, server, std::nullopt);
-  auto head = co_await readMatchingHead(F);
+  auto head = co_await readMatchingHead(F, server);
   if (!head)
     co_return attempt;
   Head = std::move(*head);
@@ -120,11 +120,10 @@
     const Demand demand{F.Request.PromptTokens, F.Request.ExpectedTokens};
     const Choice choice = Ctx.Placer.chooseForGeneration(
         Ctx.now(), *F.ChosenService, demand, F.TriedServers);
+    const auto wait = logReachedLimits(F, choice.Chosen);
     if (!choice.Chosen) {
-      logStreamEnd("no server");
-      http::Response response =
-          makeRefusal(F, Verdict::NotRun, Reason::NoBackendServer);
-      co_await X.send(std::move(response));
+      logStreamEnd(wait ? "server limits" : "no server");
+      co_await X.send(makeNoServerRefusal(F, wait));
       co_return false;
     }
     const Server server = *choice.Chosen;
@@ -137,6 +136,7 @@
                              {"forecast_tokens", choice.Load.ForecastTokens},
                              {"prompt_tokens", F.Request.PromptTokens},
                              {"expected_tokens", F.Request.ExpectedTokens}});
+    countTowardsLimit(Ctx, id);
     registerRun(id);
     Ctx.Servers.requestStarted(id);
     Attempt attempt = co_await attemptOpen(server);
@@ -269,8 +269,11 @@
     co_return false;
   Run->Events.discardPartialEvent();
   from.LastEventId = Run->Events.lastId().value_or(0);
+  if (server.Listed.Id != Run->CountedServer)
+    countTowardsLimit(Ctx, server.Listed.Id);
+  Run->CountedServer.clear();
   sendTo(F, server, from);
-  const auto head = co_await readMatchingHead(F);
+  const auto head = co_await readMatchingHead(F, server);
   const bool isAccepted = head && head->Status == HttpOk;
   countMigrationStep(Ctx.Metrics, "continued", isAccepted);
   Ctx.Log.write("move-continued",
--- a/test/forwarding-test.cc
+++ b/test/forwarding-test.cc
@@ -97,6 +97,8 @@
   std::function<asio::awaitable<void>(http::Request, http::Exchange &)>
       OnRequest;
   /// Used by engines only.
+  /// The limit that the responses name; empty for none.
+  std::string Limit;
   int Events = 30;
   int Disconnects = 0;
   bool IsStopped = false;
@@ -144,6 +146,8 @@
     x.onDisconnect([this] { ++Disconnects; });
     std::vector<http::Header> headers = ownResponse(request, 200, "").Headers;
     headers.push_back({"Content-Type", "text/event-stream"});
+    if (!Limit.empty())
+      headers.push_back({"Server-Limit", Limit});
     co_await x.beginBody(200, headers);
     const std::string last(request.header("Last-Event-Id"));
     int next = last.empty() ? 0 : std::stoi(last) + 1;
@@ -705,6 +709,62 @@
   });
 }
 
+/// Migrates a stream to a destination whose limit is known.
+class LimitedMigrationTest : public ForwardingTest {
+protected:
+  void migrateTo(TestServer &destination, const std::string &limit) {
+    destination.Limit = limit;
+    destination.Events = 3;
+    startGateway();
+    runTest([&]() -> asio::awaitable<void> {
+      co_await waitUntilReady();
+      const auto first = co_await readStream("/stream/x");
+      EXPECT_TRUE(first.End.IsComplete);
+      destination.Events = MigrationEvents;
+      TestServer &source = addServer("e1", "llm");
+      source.Events = MigrationEvents;
+      Changes.push_back({"e1", source.listed()});
+      co_await waitUntil(
+          [&] { return Gateway->context().Servers.find("e1") != nullptr; });
+      ReceivedStream r;
+      r.End = co_await http::stream(
+          ListenAddress, request("POST", "/stream/x"), TestLimit,
+          [&](const http::ServerEvent &event) {
+            if (event.Id == "3")
+              Changes.push_back({"e1", source.listed(ServerState::Leaving)});
+            r.Ids.push_back(event.Id);
+            return true;
+          });
+      expectInOrder(r);
+      EXPECT_TRUE(r.End.IsComplete);
+    });
+  }
+
+  std::uint64_t countedSends() const {
+    const auto &ctx = Gateway->context();
+    const auto reports = ctx.Limits.reports(ctx.now());
+    return reports.empty() ? 0 : reports[0].Sends;
+  }
+};
+
+/// Guards against a resumed request that is not counted towards the limit of
+/// the server that it moves to (issue 23, LIMIT).
+TEST_F(LimitedMigrationTest, AMigratedStreamIsCounted) {
+  TestServer &destination = addServer("e2", "llm");
+  migrateTo(destination, "1000");
+  EXPECT_EQ(destination.Requests.size(), 2U);
+  EXPECT_EQ(countedSends(), 1U);
+}
+
+/// Guards against a migration to a server that has reached its limit (issue 23,
+/// LIMIT).
+TEST_F(LimitedMigrationTest, NoStreamMigratesToAServerAtItsLimit) {
+  TestServer &destination = addServer("e2", "llm");
+  migrateTo(destination, "0.01");
+  EXPECT_EQ(destination.Requests.size(), 1U);
+  EXPECT_EQ(countedSends(), 0U);
+}
+
 INSTANTIATE_TEST_SUITE_P(Faults, MigrationTest,
                          testing::Values(MigrationFault::None,
                                          MigrationFault::NoRunYet,
--- a/test/gateway-random-test.cc
+++ b/test/gateway-random-test.cc
@@ -99,7 +99,7 @@
         Others(now, {"g" + std::to_string(n),
                      value(base::parseEndpoint("a", Address)), incarnation,
                      seeds()}),
-        Placing(Servers, Runs, "a"), Retries(Budget), StartedAt(now) {}
+        Placing(Servers, Runs, Limits, "a"), Retries(Budget), StartedAt(now) {}
 
   static std::vector<base::Endpoint> seeds() {
     return {{"10.0.0.1", 9}, {"10.0.0.2", 9}};
@@ -110,6 +110,7 @@
   Directory Servers;
   RunTable Runs;
   Peers Others;
+  ServerLimits Limits{0};
   Placement Placing;
   RetryBudget Retries;
   base::Instant StartedAt;
--- a/test/gateway-test.cc
+++ b/test/gateway-test.cc
@@ -727,7 +727,8 @@
   Directory Servers;
   RunTable Runs;
   Service Llm;
-  Placement Placing{Servers, Runs, "a"};
+  ServerLimits Limits{0};
+  Placement Placing{Servers, Runs, Limits, "a"};
 };
 
 TEST_F(PlacementTest, ChoosesTheEngineWithTheLowestForecast) {
@@ -779,6 +780,30 @@
   EXPECT_EQ(c.Chosen->Listed.Id, "plain");
 }
 
+TEST_F(PlacementTest, PassesOverServersThatHaveReachedTheirLimits) {
+  Servers.put(Start, server("near", "llm", "a"));
+  Servers.put(Start, server("far", "llm", "b"));
+  base::Random random(1);
+  EXPECT_EQ(Placing.timeUntilRoom(Start, "llm", {}), std::nullopt);
+  Limits.recordResponse(Start, {{"near", milliseconds(0)}, Start, 2});
+  EXPECT_EQ(
+      Placing.chooseForGeneration(Start, Llm, {100, 10}, {}).Chosen->Listed.Id,
+      "far");
+  EXPECT_EQ(Placing.chooseForRequest(Start, "llm", {}, random)->Listed.Id,
+            "far");
+  const Server source{server("source", "llm", "a")};
+  EXPECT_EQ(Placing.chooseForMigration(Start, Llm, {100, 10}, source, {})
+                .Chosen->Listed.Id,
+            "far");
+  EXPECT_EQ(Placing.timeUntilRoom(Start, "llm", {}), milliseconds(500));
+  Limits.recordResponse(Start, {{"far", milliseconds(0)}, Start, 10});
+  EXPECT_EQ(Placing.chooseForRequest(Start, "llm", {}, random), nullptr);
+  EXPECT_EQ(Placing.timeUntilRoom(Start, "llm", {}), milliseconds(100));
+  EXPECT_NE(
+      Placing.chooseForRequest(Start + milliseconds(100), "llm", {}, random),
+      nullptr);
+}
+
 TEST_F(PlacementTest, PrefersTheOwnZoneAmongEquals) {
   Servers.put(Start, server("far", "llm", "b"));
   Servers.put(Start, server("near", "llm", "a"));
@@ -958,6 +983,189 @@
   EXPECT_EQ(copyTime(engine, 4'000, false), base::Duration(0));
 }
 
+// Limits that servers name.
+
+struct ServerLimitsTest : testing::Test {
+  static constexpr double Rate = 2;
+  const ServerInstance Limited{"s1", milliseconds(1'000)};
+  const GatewayInstance Other{"10.0.0.2:9", 1};
+
+  /// Returns how many requests a gateway may send within a time.
+  static int sendsWithin(ServerLimits &limits, base::Instant from,
+                         base::Duration length) {
+    int sends = 0;
+    for (base::Duration t{0}; t < length; t += milliseconds(5)) {
+      if (!limits.hasRoom(from + t, "s1"))
+        continue;
+      limits.recordSend(from + t, "s1");
+      ++sends;
+    }
+    return sends;
+  }
+
+  LimitReport report(std::uint64_t sends, double rate = Rate) const {
+    return {Limited, rate, milliseconds(0), sends};
+  }
+
+  ServerLimits Limits{0.5};
+};
+
+TEST_F(ServerLimitsTest, ServersWithoutALimitTakeAnything) {
+  EXPECT_TRUE(Limits.hasRoom(Start, "s1"));
+  EXPECT_FALSE(Limits.recordSend(Start, "s1"));
+  Limits.recordResponse(Start, {Limited, Start, std::nullopt});
+  EXPECT_TRUE(Limits.isEmpty());
+}
+
+TEST_F(ServerLimitsTest, TheRateIsKeptAndUsed) {
+  Limits.recordResponse(Start, {Limited, Start, Rate});
+  EXPECT_FALSE(Limits.hasRoom(Start, "s1"));
+  EXPECT_EQ(Limits.timeUntilRoom(Start, "s1"), milliseconds(500));
+  const int sends = sendsWithin(Limits, Start, seconds(10));
+  EXPECT_GE(sends, 19);
+  EXPECT_LE(sends, 21);
+  // After a pause, not more than a second's requests have accumulated.
+  EXPECT_LE(sendsWithin(Limits, Start + seconds(60), milliseconds(10)), 2);
+}
+
+/// Guards against a gateway that does not count what the others send.
+TEST_F(ServerLimitsTest, RequestsOfOtherGatewaysCount) {
+  Limits.recordResponse(Start, {Limited, Start, Rate});
+  Limits.applyReport(Start, Other, report(7));
+  base::Instant now = Start + seconds(30);
+  ASSERT_TRUE(Limits.hasRoom(now, "s1"));
+  Limits.applyReport(now, Other, report(9));
+  EXPECT_FALSE(Limits.hasRoom(now, "s1"));
+  // Reports that arrive again, or late, count nothing.
+  now += seconds(1);
+  for (const std::uint64_t sends : {9, 8, 7, 9})
+    Limits.applyReport(now, Other, report(sends));
+  EXPECT_TRUE(Limits.hasRoom(now, "s1"));
+}
+
+/// Guards against a gateway that keeps sending until a response of the server
+/// itself has named the limit.
+TEST_F(ServerLimitsTest, ALimitIsLearnedFromAnotherGateway) {
+  Limits.applyReport(Start, Other, report(0));
+  EXPECT_FALSE(Limits.hasRoom(Start, "s1"));
+  EXPECT_LE(sendsWithin(Limits, Start, seconds(4)), 9);
+}
+
+TEST_F(ServerLimitsTest, ALimitThatFallsHoldsAtOnce) {
+  Limits.recordResponse(Start, {Limited, Start, 100});
+  const base::Instant now = Start + seconds(5);
+  ASSERT_TRUE(Limits.hasRoom(now, "s1"));
+  Limits.recordResponse(now, {Limited, now, Rate});
+  EXPECT_LE(sendsWithin(Limits, now, seconds(1)), 4);
+}
+
+/// A response without the limit ends it, unless its request was sent before the
+/// limit was named.
+TEST_F(ServerLimitsTest, ALimitEndsWithAResponseThatNamesNone) {
+  const base::Instant named = Start + seconds(1);
+  Limits.recordResponse(named, {Limited, Start, Rate});
+  Limits.recordResponse(named + milliseconds(5),
+                        {Limited, Start, std::nullopt});
+  EXPECT_FALSE(Limits.hasRoom(named + milliseconds(5), "s1"));
+  const base::Instant ended = named + seconds(2);
+  Limits.recordResponse(ended, {Limited, named + seconds(1), std::nullopt});
+  EXPECT_TRUE(Limits.hasRoom(ended, "s1"));
+  // A report from before the end does not name it again.
+  Limits.applyReport(ended + milliseconds(10), Other,
+                     {Limited, Rate, seconds(1), 3});
+  EXPECT_TRUE(Limits.hasRoom(ended + milliseconds(10), "s1"));
+  const std::vector<LimitReport> reports = Limits.reports(ended);
+  ASSERT_EQ(reports.size(), 1U);
+  EXPECT_EQ(reports[0].RequestsPerSecond, std::nullopt);
+}
+
+/// Guards against a limit that ends for one gateway and not for those that send
+/// the server nothing.
+TEST_F(ServerLimitsTest, TheEndOfALimitIsLearnedFromAnotherGateway) {
+  Limits.recordResponse(Start, {Limited, Start, Rate});
+  Limits.applyReport(Start + seconds(2), Other,
+                     {Limited, std::nullopt, milliseconds(10), 1});
+  EXPECT_TRUE(Limits.hasRoom(Start + seconds(2), "s1"));
+}
+
+/// Guards against a restarted server, under the same id, that inherits the
+/// limit of its earlier life.
+TEST_F(ServerLimitsTest, ARestartedServerHasNoLimit) {
+  const ServerInstance restarted{"s1", milliseconds(9'000)};
+  Limits.recordResponse(Start, {Limited, Start, Rate});
+  Limits.applyReport(Start + seconds(1), Other,
+                     {restarted, std::nullopt, milliseconds(0), 0});
+  EXPECT_TRUE(Limits.hasRoom(Start + seconds(1), "s1"));
+  // A late report on the earlier life.
+  Limits.applyReport(Start + seconds(1), Other, report(5));
+  EXPECT_TRUE(Limits.hasRoom(Start + seconds(1), "s1"));
+}
+
+/// Guards against gateways that each use the entire limit while they do not
+/// hear each other.
+TEST_F(ServerLimitsTest, GatewaysThatHearNobodyKeepToTheirShare) {
+  constexpr int Gateways = 10;
+  int sends = 0;
+  for (int i = 0; i < Gateways; ++i) {
+    ServerLimits limits(static_cast<double>(i) / Gateways);
+    bool isAlone = false;
+    limits.AvailableShare = [&](base::Instant) {
+      return isAlone ? 1.0 / Gateways : 1.0;
+    };
+    limits.recordResponse(Start, {Limited, Start, Rate});
+    isAlone = true;
+    sends += sendsWithin(limits, Start + milliseconds(400), seconds(20));
+  }
+  EXPECT_LE(sends, 40);
+  EXPECT_GE(sends, 25);
+}
+
+/// Guards against a gateway that sends nothing for as long as it was frozen,
+/// because all that the others sent meanwhile is reported at once.
+TEST_F(ServerLimitsTest, AGatewaySendsAgainSoonAfterAFreeze) {
+  Limits.recordResponse(Start, {Limited, Start, Rate});
+  Limits.applyReport(Start, Other, report(1));
+  const base::Instant now = Start + seconds(60);
+  Limits.applyReport(now, Other, report(121));
+  EXPECT_FALSE(Limits.hasRoom(now, "s1"));
+  EXPECT_LE(Limits.timeUntilRoom(now, "s1"), seconds(3));
+}
+
+/// A server that takes nothing is asked now and then, or the end of its limit
+/// would never be seen.
+TEST_F(ServerLimitsTest, ALimitOfZeroAllowsATrial) {
+  Limits.recordResponse(Start, {Limited, Start, 0});
+  EXPECT_FALSE(Limits.hasRoom(Start + seconds(30), "s1"));
+  EXPECT_TRUE(Limits.hasRoom(Start + seconds(61), "s1"));
+}
+
+TEST_F(ServerLimitsTest, RemovedServersAndEndedLimitsAreForgotten) {
+  const auto isKnown = [](std::string_view id) { return id == "s1"; };
+  Limits.recordResponse(Start, {Limited, Start, Rate});
+  Limits.recordResponse(Start, {{"s2", milliseconds(1)}, Start, Rate});
+  Limits.evict(Start, isKnown);
+  EXPECT_FALSE(Limits.hasRoom(Start, "s1"));
+  EXPECT_TRUE(Limits.hasRoom(Start, "s2"));
+  Limits.recordResponse(Start + seconds(1),
+                        {Limited, Start + seconds(1), std::nullopt});
+  Limits.evict(Start + seconds(2), isKnown);
+  EXPECT_FALSE(Limits.isEmpty());
+  Limits.evict(Start + seconds(60), isKnown);
+  EXPECT_TRUE(Limits.isEmpty());
+}
+
+TEST_F(ServerLimitsTest, OnlyChangesAreReported) {
+  Limits.recordResponse(Start, {Limited, Start, 100});
+  EXPECT_EQ(Limits.takeChangedReports(Start).size(), 1U);
+  EXPECT_TRUE(Limits.takeChangedReports(Start).empty());
+  Limits.recordResponse(Start, {Limited, Start, 100});
+  EXPECT_TRUE(Limits.takeChangedReports(Start).empty());
+  Limits.recordSend(Start + seconds(1), "s1");
+  const auto changed = Limits.takeChangedReports(Start + seconds(1));
+  ASSERT_EQ(changed.size(), 1U);
+  EXPECT_EQ(changed[0].Sends, 1U);
+}
+
 // Peers.
 
 wire::Gossip gossip(std::string address, std::uint64_t version = 0) {
@@ -1059,6 +1267,26 @@
     EXPECT_LE(count, Gateways / 3) << peer;
 }
 
+TEST(Peers, SilentGatewaysAreNotHeard) {
+  Peers peers(Start, {"own", {"10.0.0.1", 9}, 1, {}});
+  // Others may not have been discovered yet.
+  EXPECT_LT(peers.heardFraction(Start), 0.1);
+  const base::Instant now = Start + seconds(10);
+  EXPECT_EQ(peers.heardFraction(now), 1);
+  peers.recordMessage(now, gossip("10.0.0.2:9"));
+  peers.recordMessage(now, gossip("10.0.0.3:9"));
+  EXPECT_EQ(peers.heardFraction(now), 1);
+  const base::Instant later = now + seconds(2);
+  peers.recordMessage(later, gossip("10.0.0.3:9"));
+  EXPECT_NEAR(peers.heardFraction(later), 2.0 / 3, 1e-9);
+  // One that has stopped sends no requests.
+  wire::Gossip last = gossip("10.0.0.2:9");
+  last.set_is_last(true);
+  peers.recordMessage(later, last);
+  EXPECT_EQ(peers.heardFraction(later), 1);
+  EXPECT_EQ(peers.heardFraction(later + seconds(60)), 1);
+}
+
 TEST(Peers, ALastMessageEndsThePeer) {
   Peers peers(Start, {"own", {"10.0.0.1", 9}, 1, {}});
   wire::Gossip message = gossip("10.0.0.2:9");
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -146,6 +146,24 @@
   EXPECT_FALSE(codec.DecodeResponseHead(r, {503, {}}).HasNotRun);
 }
 
+TEST(ProtocolCodec, DecodesTheLimitThatAServerNames) {
+  const gateway::ProtocolCodec codec = makeProtocolCodec();
+  const gateway::CallerRequest r = codec.DecodeRequest(sampleRequest());
+  const auto decode = [&](const std::string &text) {
+    return codec.DecodeResponseHead(r, {200, {{"server-limit", text}}});
+  };
+  EXPECT_EQ(decode("3.2").RequestLimit, 3.2);
+  EXPECT_EQ(decode("0").RequestLimit, 0.0);
+  EXPECT_FALSE(decode("3.2").HasMalformedLimit);
+  for (const char *text : {"-1", "nan", "inf", "3.2/s", "1e999", " "}) {
+    EXPECT_EQ(decode(text).RequestLimit, std::nullopt) << text;
+    EXPECT_TRUE(decode(text).HasMalformedLimit) << text;
+  }
+  const gateway::ServerResponse none = codec.DecodeResponseHead(r, {200, {}});
+  EXPECT_EQ(none.RequestLimit, std::nullopt);
+  EXPECT_FALSE(none.HasMalformedLimit);
+}
+
 TEST(ProtocolCodec, EncodesCopyRequestsAndDecodesResponses) {
   const gateway::ProtocolCodec codec = makeProtocolCodec();
   const http::Request ask =
