Soak: servers name limits, checked from what they receive

A server names a limit of 0.5 to 8.5 requests a second for six to ten seconds, while gateways are killed, paused and restarted. From a second after it is known, no four seconds may bring more than the users' rule allows; each fault of a gateway allows one burst more.

--- a/test/soak/fake-servers.cc
+++ b/test/soak/fake-servers.cc
@@ -24,6 +24,8 @@
 /// With this many requests open, a server refuses further ones.
 constexpr int MaxOpenRequests = 40;
 constexpr int NotFound = 404;
+/// Time for the gateways to learn a limit; the users allow three seconds.
+constexpr milliseconds LimitLearnTime{1'000};
 /// Fraction of the requests that a fault mode affects.
 constexpr double FaultProbability = 0.5;
 
@@ -63,6 +65,7 @@
   Lease = 0;
   IsLeaving = false;
   LeavingSince = base::Instant::max();
+  Limit.reset();
 }
 
 void FakeServer::start() {
@@ -163,13 +166,55 @@
   IsUp = true;
 }
 
+asio::awaitable<void> FakeServer::nameLimit(double requestsPerSecond,
+                                            milliseconds length) {
+  Limit = requestsPerSecond;
+  LimitKnownSince = Journal::now();
+  co_await sleepFor(length);
+  Limit.reset();
+}
+
+void FakeServer::checkLimit() {
+  constexpr base::seconds Window{4};
+  constexpr double WindowFactor = 1.5;
+  constexpr double WindowExtra = 5;
+  const base::Instant now = Journal::now();
+  Arrivals.push_back(now);
+  while (Arrivals.front() < now - Window)
+    Arrivals.pop_front();
+  // A response that names the limit may not reach the gateways.
+  if (Link->fault() != LinkFault::None || Mode != FaultMode::None || !IsUp)
+    LimitKnownSince = now;
+  if (!Limit || now - LimitKnownSince < LimitLearnTime + Window)
+    return;
+  // A gateway that returns may use up to a second's requests before it hears
+  // what the others have sent.
+  const int returned = Log.gatewayFaults(now - Window - Journal::RecoveryTime,
+                                         now, Opts.Gateways);
+  const double allowed = WindowFactor * *Limit * Window.count() + WindowExtra +
+                         returned * std::max(1.0, *Limit);
+  if (static_cast<double>(Arrivals.size()) > allowed)
+    Log.recordViolation("a server's limit holds over all gateways",
+                        std::to_string(Arrivals.size()) + " requests to " + Id +
+                            " in 4 s, limit " + std::to_string(*Limit));
+}
+
+/// Adds the limit that a server names to its response.
+void addLimit(http::Response &response, std::optional<double> limit) {
+  if (limit)
+    response.Headers.push_back({"Server-Limit", std::to_string(*limit)});
+}
+
 http::Response FakeServer::makeResponse(const http::Request &request,
                                         int status, std::string body) const {
-  return {status,
-          "text/plain",
-          std::move(body),
-          {{"X-Attempt-Id", std::string(request.header("X-Attempt-Id"))},
-           {"X-Served-Stamp", "stamp-" + Id}}};
+  http::Response response{
+      status,
+      "text/plain",
+      std::move(body),
+      {{"X-Attempt-Id", std::string(request.header("X-Attempt-Id"))},
+       {"X-Served-Stamp", "stamp-" + Id}}};
+  addLimit(response, Limit);
+  return response;
 }
 
 std::optional<http::Response>
@@ -183,6 +228,7 @@
     return std::nullopt;
   http::Response refused = jsonResponse(lacksAttemptId ? 400 : 503, "{}");
   refused.Headers.push_back({"X-Not-Run", "1"});
+  addLimit(refused, Limit);
   return refused;
 }
 
@@ -210,6 +256,8 @@
     co_await x.send(jsonResponse(200, "{}"));
     co_return;
   }
+  if (request.header("X-Expect-Instance") == Id)
+    checkLimit();
   if (auto refused = refusal(request)) {
     co_await x.send(std::move(*refused));
     co_return;
--- a/test/soak/fake-servers.h
+++ b/test/soak/fake-servers.h
@@ -10,6 +10,7 @@
 #include "drumlanding/http/http.h"
 #include "platform/store.h"
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -56,6 +57,8 @@
     /// Where the server listens behind the proxy.
     base::Endpoint Private;
     bool IsEngine = false;
+    /// Number of gateways that may send requests.
+    int Gateways = 1;
   };
 
   FakeServer(asio::io_context &io, Journal &journal, CopyTable &copies,
@@ -74,6 +77,10 @@
   /// might; it expires with its lease.
   asio::awaitable<void> writeForeignEntry();
 
+  /// Names a limit in all responses for a time.
+  asio::awaitable<void> nameLimit(double requestsPerSecond,
+                                  base::milliseconds length);
+
   FaultMode Mode = FaultMode::None;
   Proxy &link() { return *Link; }
   const std::string &id() const { return Id; }
@@ -94,6 +101,9 @@
   std::optional<http::Response> refusal(const http::Request &request) const;
   bool resumeFromCopy(const std::string &from, const std::string &attempt,
                       Generation &generation);
+  /// Records a request and reports a violation if there are more than the named
+  /// limit allows.
+  void checkLimit();
   http::Response makeResponse(const http::Request &request, int status,
                               std::string body) const;
   void startInstance();
@@ -111,6 +121,10 @@
   bool IsUp = true;
   bool IsLeaving = false;
   base::Instant ShutdownAt{};
+  /// The limit named now, and since when the gateways can know it.
+  std::optional<double> Limit;
+  base::Instant LimitKnownSince{};
+  std::deque<base::Instant> Arrivals;
   int OpenRequests = 0;
   std::map<std::string, std::shared_ptr<Generation>> Running;
   std::unique_ptr<http::Server> Listener;
--- a/test/soak/fault-injector.cc
+++ b/test/soak/fault-injector.cc
@@ -94,6 +94,8 @@
        [](FaultInjector &f) { return f.degradeServer(); }},
       {"restart a gateway", Planned, 1,
        [](FaultInjector &f) { return f.restartGateway(); }},
+      {"name a server's limit", Planned, 1,
+       [](FaultInjector &f) { return f.nameLimit(); }},
       {"reload a gateway's settings", Planned, 1,
        [](FaultInjector &f) { return f.reloadGateway(); }},
       {"drain a server", Planned, 1,
@@ -305,6 +307,12 @@
   server.Mode = FaultMode::None;
 }
 
+asio::awaitable<void> FaultInjector::nameLimit() {
+  FakeServer &server = randomServer();
+  const double requestsPerSecond = 0.5 + 8 * Random.unit();
+  co_await server.nameLimit(requestsPerSecond, randomDuration(6'000, 10'000));
+}
+
 asio::awaitable<void> FaultInjector::drainServer() {
   FakeServer &server = randomServer();
   // Drains one server of a service at a time, so that the service stays
--- a/test/soak/fault-injector.h
+++ b/test/soak/fault-injector.h
@@ -64,6 +64,7 @@
   Step resetConnections(Proxy &link);
   Step crashServer();
   Step degradeServer();
+  Step nameLimit();
   Step drainServer();
   Step changeConfig();
   Step changeConfigRepeatedly();
--- a/test/soak/journal.cc
+++ b/test/soak/journal.cc
@@ -29,6 +29,22 @@
   });
 }
 
+int Journal::gatewayFaults(base::Instant from, base::Instant to,
+                           int gateways) const {
+  int count = 0;
+  for (const Fault &fault : Faults) {
+    if (fault.From > to || fault.To < from)
+      continue;
+    const std::string &name = fault.Description;
+    if (name == "kill all gateways")
+      count += gateways;
+    else if (name == "kill a gateway" || name == "pause a gateway" ||
+             name == "restart a gateway")
+      ++count;
+  }
+  return count;
+}
+
 void Journal::recordStart(const std::string &attempt, const std::string &server,
                           bool isIdempotent) {
   std::vector<Execution> &executions = Executions[attempt];
--- a/test/soak/journal.h
+++ b/test/soak/journal.h
@@ -38,6 +38,9 @@
   /// Returns true if a fault or planned work was active in [from, to].
   bool hasFaultOrPlannedWork(base::Instant from, base::Instant to) const;
   std::size_t faults() const { return Faults.size(); }
+  /// Returns how many faults of gateways, and restarts of them, were active at
+  /// any time in [from, to]. A fault of all gateways counts as all of them.
+  int gatewayFaults(base::Instant from, base::Instant to, int gateways) const;
 
   /// Records that a server starts to work on an attempt.
   void recordStart(const std::string &attempt, const std::string &server,
--- a/test/soak/main.cc
+++ b/test/soak/main.cc
@@ -122,10 +122,12 @@
   void startServers() {
     for (int n = 1; n <= FLAGS_engines + FLAGS_services; ++n) {
       const bool isEngine = n <= FLAGS_engines;
-      FakeServer::Options options{isEngine ? "llm" : "shop", zoneOf(n),
+      FakeServer::Options options{isEngine ? "llm" : "shop",
+                                  zoneOf(n),
                                   endpoint(ServerSubnet, n, PublicPort),
                                   endpoint(ServerSubnet, n, PrivatePort),
-                                  isEngine};
+                                  isEngine,
+                                  FLAGS_gateways};
       System.Servers.push_back(std::make_unique<FakeServer>(
           Io, Log, SharedCopies, Store, std::move(options),
           FLAGS_seed * 1'000 + static_cast<std::uint64_t>(n)));
--- a/test/soak/proxy.h
+++ b/test/soak/proxy.h
@@ -37,6 +37,7 @@
   start(asio::io_context &io, base::Endpoint listen, base::Endpoint target);
 
   void setFault(LinkFault fault) { Fault = fault; }
+  LinkFault fault() const { return Fault; }
   /// Resets all open connections.
   void resetAll();
   /// Discards all further data on connections that are open now, without
