--- a/support/mutants.sh
+++ b/support/mutants.sh
@@ -15,7 +15,8 @@
   SOAK_SECONDS=$2
   shift 2
 fi
-UNITS=(gateway-test platform-test sidecar-test forwarding-test store-session-test)
+UNITS=(gateway-test platform-test sidecar-test forwarding-test store-session-test
+  server-limit-test)
 PROGRAMS=(drumlanding-gateway drumlanding-sidecar fake-platform soak)
 SOAK_SEED=501
 
@@ -25,7 +26,7 @@
 not-run-unproven|include/drumlanding/gateway/attempt-policy.h|s/if \(isProven && !s\.MayHaveRun\)/if (true)/
 older-config-taken|src/gateway/gateway-context.cc|s/version <= Routes->config\(\)\.Version/version == Routes->config().Version/
 leaving-server-chosen|src/gateway/directory.cc|s/if \(server\.IsLeaving \|\| server\.Listed\.Service != service\)/if (server.Listed.Service != service)/
-silent-watch-kept|platform/store.cc|s/wait \+ WatchTimeoutMargin\)/wait + 100 * WatchTimeoutMargin)/
+silent-watch-kept|platform/store.cc|s/wait \+ WatchTimeoutMargin,/wait + 100 * WatchTimeoutMargin,/
 early-end-looks-whole|src/gateway/stream-forwarder.cc|s/const bool isEnd = ok\(piece\) && !Run->Events\.hasPartialEvent\(\);/const bool isEnd = !Run->IsMigrating;/
 sidecar-notice-lost|src/gateway/gossip.cc|s/  Ctx\.Servers\.applyNotice\(now, fromWire\(message\.notice\(\)\)\);\n//
 unreadable-entry-hides-others|platform/store-reader.cc|s/    changes\.Changes\.push_back\(std::move\(change\)\);/    if (!change.Problem.empty())\n      return base::invalid("servers", change.Problem);\n    changes.Changes.push_back(std::move(change));/
@@ -37,6 +38,14 @@
 unknown-key-accepted|src/gateway/forwarder.cc|s/return plainTextResponse\(401, "The key is missing or unknown\.\\n"\);/(void)0;/
 foreign-answer-passed|platform/protocol-codec.cc|s/answer\.MatchesAttempt = head\.header\(header::AttemptId\) == request\.AttemptId;/answer.MatchesAttempt = true;/
 stop-waits-for-nothing|src/gateway/shell.cc|s/while \(Ctx\.OpenRequests > 0 && Ctx\.now\(\) < Ctx\.stopDeadline\(\)\);/while (false);/
+duration-limits-transfer|src/http/client.cc|s/timeouts\.Idle, std::move/std::nullopt, std::move/
+config-transferred-twice|src/gateway/gossip.cc|s/peer && !Ctx\.StoreTransfer\.isActive\(now\)/peer/
+limit-ignored|src/gateway/server-limits.cc|s/if \(limit->Tokens >= 1\)/if (true)/
+limits-not-reported|src/gateway/gossip.cc|s/\*message\.add_limits\(\) = toWire\(report\);/(void)report;/g
+other-sends-not-counted|src/gateway/server-limits.cc|s/take\(now, limit, static_cast<double>\(seen\.Sends - before\)\);/(void)before;/
+silent-gateways-forgotten|src/gateway/server-limits.cc|s/std::clamp\(AvailableShare\(now\), MinShare, 1\.0\)/1.0 + 0 * MinShare/
+limit-never-ends|src/gateway/server-limits.cc|s/  if \(!seen\.RequestsPerSecond\) \{/  if (!seen.RequestsPerSecond) {\n    return;/
+migration-not-counted|src/gateway/migrator.cc|s/    countTowardsLimit\(Ctx, to\.Listed\.Id\);\n//
 LIST
 )
 
