--- a/tools/engine-model.cc
+++ b/tools/engine-model.cc
@@ -8,6 +8,8 @@
 namespace {
 
 constexpr std::uint32_t MaxOutputTokens = 20'000;
+/// Time constant of the rate of completed jobs.
+constexpr double CompletionRateSeconds = 5;
 
 double normal(base::Random &random) {
   const double u = std::max(random.unit(), 1e-12);
@@ -131,6 +133,13 @@
   }
 }
 
+std::optional<double> EngineModel::requestLimit() const {
+  if (Options.MaxUnlimitedJobs == 0 ||
+      Running.size() + Queue.size() <= Options.MaxUnlimitedJobs)
+    return std::nullopt;
+  return CompletedPerSecond;
+}
+
 EngineStep EngineModel::step() {
   EngineStep out;
   preempt(out);
@@ -155,6 +164,13 @@
     UsedTokens -= job.tokens();
     return true;
   });
+  const double seconds = ms / 1'000;
+  const double weight = 1 - std::exp(-seconds / CompletionRateSeconds);
+  const auto completed =
+      std::count_if(out.Tokens.begin(), out.Tokens.end(),
+                    [](const EngineToken &token) { return token.IsLast; });
+  CompletedPerSecond +=
+      weight * (static_cast<double>(completed) / seconds - CompletedPerSecond);
   return out;
 }
 
--- a/tools/engine-model.h
+++ b/tools/engine-model.h
@@ -17,6 +17,7 @@
 #include <deque>
 #include <list>
 #include <map>
+#include <optional>
 #include <unordered_map>
 #include <vector>
 
@@ -34,6 +35,8 @@
   double PrefillTokenMs = 0.1;
   /// Size of the prefix cache, in addition to CapacityTokens; 0 disables it.
   std::uint64_t CacheCapacityTokens = 12'000;
+  /// With more jobs than this, the engine names a limit; 0 never.
+  std::size_t MaxUnlimitedJobs = 0;
 };
 
 struct EngineJob {
@@ -81,6 +84,10 @@
   /// Runs one step. Elapsed is 0 if no job runs.
   EngineStep step();
 
+  /// Returns the jobs per second that the engine asks for, the rate at which it
+  /// has recently completed them; unset while it has few jobs.
+  std::optional<double> requestLimit() const;
+
   bool isIdle() const { return Running.empty() && Queue.empty(); }
   std::uint64_t usedTokens() const { return UsedTokens; }
   std::size_t running() const { return Running.size(); }
@@ -98,6 +105,8 @@
   std::vector<EngineJob> Running;
   std::deque<EngineJob> Queue;
   std::uint64_t UsedTokens = 0;
+  /// Exponentially weighted rate of completed jobs.
+  double CompletedPerSecond = 0;
   struct CachedPrefix {
     std::uint64_t Hash = 0;
     std::uint32_t Tokens = 0;
