gateway: Make up for requests beyond a low limit

Cause: several send before they hear of each other, and the debt was cut off at one request, so that a gateway would not pause for as long as it had been frozen.

RequestsOfOtherGatewaysCount now has the reports every half second that gateways send; it held them back for 30 s.

--- a/include/drumlanding/gateway/server-limits.h
+++ b/include/drumlanding/gateway/server-limits.h
@@ -94,6 +94,7 @@
   struct PeerSends {
     std::uint64_t Incarnation = 0;
     std::uint64_t Sends = 0;
+    base::Instant HeardAt{};
   };
   struct Limit {
     ServerInstance Server;
--- a/src/gateway/server-limits.cc
+++ b/src/gateway/server-limits.cc
@@ -8,10 +8,10 @@
 /// Unused requests accumulate for this long. Longer bursts would not be "a
 /// second" any more; shorter ones waste what arrives unevenly.
 constexpr std::chrono::duration<double> BurstTime(1);
-/// Requests beyond the limit are made up for up to this long. Reports that
-/// arrive late, after a freeze, would otherwise stop a gateway for as long as
-/// it was away.
-constexpr std::chrono::duration<double> MaxDebtTime(2);
+/// Requests beyond the limit are made up for, up to this many or up to what the
+/// server takes in this time.
+constexpr double MaxDebtRequests = 20;
+constexpr std::chrono::duration<double> MaxDebtTime(4);
 /// A server that names a lower rate is still asked this often, or the end of
 /// its limit would never be seen.
 constexpr double MinRequestsPerSecond = 1.0 / 60;
@@ -80,7 +80,7 @@
 void ServerLimits::take(base::Instant now, Limit &limit, double count) const {
   fill(now, limit);
   const double maxDebt =
-      std::max(1.0, *limit.RequestsPerSecond * MaxDebtTime.count());
+      std::max(MaxDebtRequests, *limit.RequestsPerSecond * MaxDebtTime.count());
   limit.Tokens = std::max(limit.Tokens - count, -maxDebt);
 }
 
@@ -184,13 +184,21 @@
   const auto [sends, isNew] = limit.SendsByPeer.try_emplace(from.Address);
   PeerSends &known = sends->second;
   if (!isNew && known.Incarnation == from.Incarnation &&
-      seen.Sends <= known.Sends)
+      seen.Sends <= known.Sends) {
+    known.HeardAt = now;
     return;
-  const std::uint64_t before =
-      known.Incarnation == from.Incarnation ? known.Sends : 0;
-  known = {from.Incarnation, seen.Sends};
-  if (limit.RequestsPerSecond)
-    take(now, limit, static_cast<double>(seen.Sends - before));
+  }
+  // What a gateway sent before it was first heard is not recent.
+  std::uint64_t before = isNew ? seen.Sends : 0;
+  if (known.Incarnation == from.Incarnation)
+    before = known.Sends;
+  const double silence = toSeconds(now - known.HeardAt);
+  known = {from.Incarnation, seen.Sends, now};
+  if (!limit.RequestsPerSecond)
+    return;
+  // After a freeze or a partition, most of the requests were sent long ago.
+  const double recent = std::min(1.0, BurstTime.count() / silence);
+  take(now, limit, static_cast<double>(seen.Sends - before) * recent);
 }
 
 void ServerLimits::evict(
--- a/test/gateway-test.cc
+++ b/test/gateway-test.cc
@@ -1033,6 +1033,8 @@
   Limits.recordResponse(Start, {Limited, Start, Rate});
   Limits.applyReport(Start, Other, report(7));
   base::Instant now = Start + seconds(30);
+  // Gateways report at least every half second.
+  Limits.applyReport(now - milliseconds(500), Other, report(7));
   ASSERT_TRUE(Limits.hasRoom(now, "s1"));
   Limits.applyReport(now, Other, report(9));
   EXPECT_FALSE(Limits.hasRoom(now, "s1"));
@@ -1131,6 +1133,13 @@
   EXPECT_LE(Limits.timeUntilRoom(now, "s1"), seconds(3));
 }
 
+/// Guards against a gateway that starts in debt for all that the others have
+/// ever sent.
+TEST_F(ServerLimitsTest, AGatewayThatStartsOwesNothing) {
+  Limits.applyReport(Start, Other, report(500));
+  EXPECT_LE(Limits.timeUntilRoom(Start, "s1"), milliseconds(500));
+}
+
 /// A server that takes nothing is asked now and then, or the end of its limit
 /// would never be seen.
 TEST_F(ServerLimitsTest, ALimitOfZeroAllowsATrial) {
--- a/test/limit-simulation-test.cc
+++ b/test/limit-simulation-test.cc
@@ -46,6 +46,22 @@
                     LimitFault::Freeze, LimitFault::Restarts,
                     LimitFault::NoDemand));
 
+/// Guards against gateways that forget what they have sent too much: with a low
+/// limit and slow reports, several send before they hear of each other.
+TEST(LimitSimulation, ALowLimitHoldsWithSlowReports) {
+  for (std::uint64_t seed = 1; seed <= Seeds; ++seed) {
+    LimitOptions options;
+    options.Gateways = 27;
+    options.Limit = 0.5;
+    options.Demand = 10;
+    options.MaxDelay = base::milliseconds(300);
+    options.Seed = seed;
+    const LimitResult r = simulateLimit(options);
+    EXPECT_LE(r.MostInWindow, static_cast<int>(1.5 * 4 * 0.5) + 5) << seed;
+    EXPECT_LE(r.UsedFraction, 1.5) << seed;
+  }
+}
+
 /// Guards against a limit that is not used: its requests would be refused
 /// although the server takes them.
 TEST(LimitSimulation, TheLimitIsUsed) {
