Rename the limits that servers name to request limits

ServerLimits and server-limit differed from the platform's header only in case, and the platform's names stay in platform/. Also: reports on servers that are not listed here are ignored until they are, and some comments are clearer. No change of behaviour otherwise.

--- a/include/drumlanding/base/verdict.h
+++ b/include/drumlanding/base/verdict.h
@@ -50,8 +50,8 @@
   AnswerTooLarge,
   AnswerLost,
   TakenOver,
-  ServerLimit,
-  Last = ServerLimit,
+  RequestLimit,
+  Last = RequestLimit,
 };
 
 /// The final response to a request that gets no complete one.
--- a/include/drumlanding/gateway/peers.h
+++ b/include/drumlanding/gateway/peers.h
@@ -84,9 +84,8 @@
   /// gateway watches it.
   bool shouldWatchList(base::Instant now) const;
 
-  /// Returns the fraction of the gateways that may be sending requests whose
-  /// messages arrive here, including this one. Drops within a second when
-  /// gateways cannot reach each other.
+  /// Of the gateways that may be sending requests, including this one, returns
+  /// the fraction whose messages have arrived here within the last second.
   double heardFraction(base::Instant now) const;
 
   /// Returns how many gateways may be sending requests, including this one.
--- a/include/drumlanding/gateway/placement.h
+++ b/include/drumlanding/gateway/placement.h
@@ -10,8 +10,8 @@
 
 #include "drumlanding/base/hash.h"
 #include "drumlanding/gateway/directory.h"
+#include "drumlanding/gateway/request-limits.h"
 #include "drumlanding/gateway/run-table.h"
-#include "drumlanding/gateway/server-limits.h"
 
 #include <optional>
 #include <span>
@@ -37,7 +37,7 @@
 class Placement {
 public:
   Placement(const Directory &directory, const RunTable &runs,
-            ServerLimits &limits, std::string zone)
+            RequestLimits &limits, std::string zone)
       : Servers(directory), Runs(runs), Limits(limits), Zone(std::move(zone)) {}
 
   /// Chooses an engine for a new generation, by the delay that the generation
@@ -78,7 +78,7 @@
 
   const Directory &Servers;
   const RunTable &Runs;
-  ServerLimits &Limits;
+  RequestLimits &Limits;
   std::string Zone;
 };
 
--- a/include/drumlanding/gateway/server-limits.h
+++ b/include/drumlanding/gateway/request-limits.h
@@ -1,7 +1,7 @@
-/// ServerLimits: keeps the request rates that backend servers name in their
+/// RequestLimits: keeps the request rates that backend servers name in their
 /// responses. A limit holds over all gateways together, without a coordinator.
 ///
-///   ServerLimits limits(phase);
+///   RequestLimits limits(phase);
 ///   limits.recordResponse(now, {server, sentAt, 3.2});
 ///   if (limits.hasRoom(now, id))
 ///     limits.recordSend(now, id);
@@ -53,11 +53,11 @@
   std::uint64_t Incarnation = 0;
 };
 
-class ServerLimits {
+class RequestLimits {
 public:
   /// `phase`, in [0, 1), differs between gateways: it spreads the requests of
   /// gateways that do not hear each other.
-  explicit ServerLimits(double phase) : Phase(phase) {}
+  explicit RequestLimits(double phase) : Phase(phase) {}
 
   /// Returns the share of each limit, in (0, 1], that this gateway and those
   /// that it hears may use.
--- a/src/base/verdict.cc
+++ b/src/base/verdict.cc
@@ -60,7 +60,7 @@
     {Reason::TakenOver, "taken-over", 409,
      "Another connection follows this stream now."},
     {Reason::AnswerLost, "answer-lost", 502, "The answer was lost."},
-    {Reason::ServerLimit, "server-limit", 503,
+    {Reason::RequestLimit, "request-limit", 503,
      "Every backend server has reached the request rate that it allows."},
 };
 
--- a/src/ctl/explain.cc
+++ b/src/ctl/explain.cc
@@ -59,7 +59,7 @@
   return scope;
 }
 
-constexpr const char *ServerLimitsCause =
+constexpr const char *RequestLimitsCause =
     "Each usable backend server of its service had reached the request rate "
     "that it allows.";
 
@@ -119,8 +119,8 @@
     return "The caller disconnected.";
   if (how == "no server")
     return "No backend server of its service was usable.";
-  if (how == "server limits")
-    return ServerLimitsCause;
+  if (how == "request limits")
+    return RequestLimitsCause;
   if (how == "answered")
     return "Each server that it was sent to reported that it did not run it, "
            "or failed.";
@@ -139,8 +139,8 @@
   case 502:
     return "It was sent and no complete response arrived: it may have run.";
   case 503:
-    if (end.text("why") == "server limits")
-      return ServerLimitsCause;
+    if (end.text("why") == "request limits")
+      return RequestLimitsCause;
     return end.text("why") == "not admitted"
                ? "The gateway had no config, or was stopping."
                : "No server accepted it, and it did not run.";
--- a/src/gateway/forwarded-request.cc
+++ b/src/gateway/forwarded-request.cc
@@ -243,7 +243,7 @@
                                    std::optional<base::Duration> wait) {
   if (!wait)
     return makeRefusal(f, Verdict::NotRun, Reason::NoBackendServer);
-  return makeRefusalWithWait(f, Verdict::NotRun, Reason::ServerLimit,
+  return makeRefusalWithWait(f, Verdict::NotRun, Reason::RequestLimit,
                              std::max<base::Duration>(*wait, MinRetryAfter));
 }
 
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -128,7 +128,7 @@
   for (;;) {
     const auto wait = logReachedLimits(f, next);
     if (!next) {
-      logRequestEnd(f, 503, wait ? "server limits" : "no server");
+      logRequestEnd(f, 503, wait ? "request limits" : "no server");
       co_await x.send(makeNoServerRefusal(f, wait));
       co_return;
     }
--- a/src/gateway/gateway-context.h
+++ b/src/gateway/gateway-context.h
@@ -10,10 +10,10 @@
 #include "drumlanding/gateway/peers.h"
 #include "drumlanding/gateway/placement.h"
 #include "drumlanding/gateway/protocol-codec.h"
+#include "drumlanding/gateway/request-limits.h"
 #include "drumlanding/gateway/retry-budget.h"
 #include "drumlanding/gateway/routes.h"
 #include "drumlanding/gateway/run-table.h"
-#include "drumlanding/gateway/server-limits.h"
 #include "drumlanding/gateway/store-reader.h"
 
 #include <boost/asio/io_context.hpp>
@@ -77,7 +77,7 @@
   base::Metrics Metrics;
   Directory Servers;
   RunTable Runs;
-  ServerLimits Limits{base::Random(base::secureRandom64()).unit()};
+  RequestLimits Limits{base::Random(base::secureRandom64()).unit()};
   Placement Placer;
   RetryBudget Budget;
   base::Random Random;
--- a/src/gateway/gossip-messages.cc
+++ b/src/gateway/gossip-messages.cc
@@ -45,8 +45,8 @@
   return out;
 }
 
-wire::ServerLimit toWire(const LimitReport &report) {
-  wire::ServerLimit out;
+wire::RequestLimit toWire(const LimitReport &report) {
+  wire::RequestLimit out;
   out.set_id(report.Server.Id);
   out.set_born_ms(static_cast<std::uint64_t>(report.Server.StartedAt.count()));
   out.set_requests_per_second(report.RequestsPerSecond.value_or(0));
@@ -55,7 +55,7 @@
   return out;
 }
 
-LimitReport fromWire(const wire::ServerLimit &limit) {
+LimitReport fromWire(const wire::RequestLimit &limit) {
   LimitReport out;
   out.Server = {limit.id(), milliseconds(limit.born_ms())};
   if (limit.requests_per_second() > 0)
--- a/src/gateway/gossip-messages.h
+++ b/src/gateway/gossip-messages.h
@@ -4,8 +4,8 @@
 
 #include "drumlanding/gateway/config.h"
 #include "drumlanding/gateway/directory.h"
+#include "drumlanding/gateway/request-limits.h"
 #include "drumlanding/gateway/run-table.h"
-#include "drumlanding/gateway/server-limits.h"
 #include "gateway.pb.h"
 
 #include <vector>
@@ -20,8 +20,8 @@
 std::vector<ListedServer>
 fromWire(const google::protobuf::RepeatedPtrField<wire::Server> &servers);
 
-wire::ServerLimit toWire(const LimitReport &report);
-LimitReport fromWire(const wire::ServerLimit &limit);
+wire::RequestLimit toWire(const LimitReport &report);
+LimitReport fromWire(const wire::RequestLimit &limit);
 wire::GoneServer toWire(const RemovedServer &removed);
 RemovedServer fromWire(const wire::GoneServer &removed);
 
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -37,6 +37,14 @@
 constexpr std::string_view ServersPath = "/servers";
 constexpr int HttpOk = 200;
 
+/// Returns why a fetch failed, or an empty text if it succeeded.
+std::string fetchProblem(const base::Result<http::Response> &fetched) {
+  if (!ok(fetched))
+    return describe(error(fetched));
+  const int status = value(fetched).Status;
+  return status == HttpOk ? "" : "status " + std::to_string(status);
+}
+
 } // namespace
 
 Gossip::Gossip(GatewayContext &ctx) : Ctx(ctx), SendTimer(ctx.Io) {}
@@ -244,9 +252,7 @@
   }
   applyRuns(now, message);
   applyServers(now, message);
-  for (const wire::ServerLimit &limit : message.limits())
-    Ctx.Limits.applyReport(now, {message.address(), message.incarnation()},
-                           fromWire(limit));
+  applyLimits(now, message);
   adoptListAge(now, message);
 }
 
@@ -282,6 +288,15 @@
     Ctx.Servers.remove(now, fromWire(removed), Evidence::Gateway);
 }
 
+void Gossip::applyLimits(base::Instant now, const wire::Gossip &message) {
+  // Reports on servers that are not listed here yet arrive again within
+  // FullStateInterval.
+  for (const wire::RequestLimit &limit : message.limits())
+    if (Ctx.Servers.find(limit.id()))
+      Ctx.Limits.applyReport(now, {message.address(), message.incarnation()},
+                             fromWire(limit));
+}
+
 /// If a peer that watches the store has the same list, this gateway's list is
 /// as recent as the peer's.
 void Gossip::adoptListAge(base::Instant now, const wire::Gossip &message) {
@@ -311,6 +326,7 @@
     const base::Instant now = Ctx.now();
     const std::uint64_t version = Ctx.Routes ? Ctx.Routes->config().Version : 0;
     const auto peer = Ctx.GatewayPeers.withNewerConfig(now, version);
+    // A second transfer would slow down the one from the store.
     if (peer && !Ctx.StoreTransfer.isActive(now))
       co_await fetchConfig(*peer);
     else if (const auto newer =
@@ -326,18 +342,6 @@
                 {{"peer", from.Name}, {"what", resource}, {"why", why}});
 }
 
-namespace {
-
-/// Returns why a fetch failed, or an empty text if it succeeded.
-std::string fetchProblem(const base::Result<http::Response> &fetched) {
-  if (!ok(fetched))
-    return describe(error(fetched));
-  const int status = value(fetched).Status;
-  return status == HttpOk ? "" : "status " + std::to_string(status);
-}
-
-} // namespace
-
 asio::awaitable<void> Gossip::fetchConfig(Peer from) {
   http::Request request{"GET", std::string(ConfigPath), {}, {}};
   http::FetchResult fetched =
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -15,8 +15,8 @@
 /// Time since its last message for which a gateway still counts towards shared
 /// limits.
 constexpr base::seconds SharedLimitTimeout{15};
-/// A gateway whose messages are missing for longer than two of them may be
-/// sending requests that are not reported here.
+/// Time since its last message after which the requests of a gateway are not
+/// known here: two messages at one every half second.
 constexpr base::milliseconds MaxSilence{1'000};
 /// Discovery takes up to this long after the start; until then, this many
 /// gateways are assumed (a site of 100 VMs has about 30).
--- a/src/gateway/server-limits.cc
+++ b/src/gateway/request-limits.cc
@@ -1,12 +1,12 @@
-#include "drumlanding/gateway/server-limits.h"
+#include "drumlanding/gateway/request-limits.h"
 
 #include <algorithm>
 
 namespace drumlanding::gateway {
 namespace {
 
-/// Unused requests accumulate for this long. Longer bursts would not be "a
-/// second" any more; shorter ones waste what arrives unevenly.
+/// Unused requests accumulate for this long, since limits are given in requests
+/// per second.
 constexpr std::chrono::duration<double> BurstTime(1);
 /// Requests beyond the limit are made up for, up to this many or up to what the
 /// server takes in this time.
@@ -18,7 +18,7 @@
 /// Time for which the end of a limit is remembered, longer than any report of
 /// the limit is on its way.
 constexpr base::seconds EndedLimitRetention{30};
-/// Lowest share that is left to this gateway.
+/// Lower bound of the available share, which is divided by.
 constexpr double MinShare = 1e-4;
 
 double toSeconds(base::Duration d) {
@@ -36,12 +36,12 @@
 
 } // namespace
 
-double ServerLimits::availableShare(base::Instant now) const {
+double RequestLimits::availableShare(base::Instant now) const {
   return AvailableShare ? std::clamp(AvailableShare(now), MinShare, 1.0) : 1.0;
 }
 
-ServerLimits::Limit &ServerLimits::findOrAdd(base::Instant now,
-                                             const ServerInstance &server) {
+RequestLimits::Limit &RequestLimits::findOrAdd(base::Instant now,
+                                               const ServerInstance &server) {
   const auto [it, isNew] = Limits.try_emplace(server.Id);
   Limit &limit = it->second;
   if (isNew || isOtherLife(limit.Server, server)) {
@@ -53,14 +53,14 @@
   return limit;
 }
 
-ServerLimits::Limit *ServerLimits::findActive(std::string_view id) {
+RequestLimits::Limit *RequestLimits::findActive(std::string_view id) {
   const auto it = Limits.find(id);
   if (it == Limits.end() || !it->second.RequestsPerSecond)
     return nullptr;
   return &it->second;
 }
 
-void ServerLimits::fill(base::Instant now, Limit &limit) const {
+void RequestLimits::fill(base::Instant now, Limit &limit) const {
   const double share = availableShare(now);
   // Other gateways may spend the same tokens from now on. Each keeps its share
   // of them, less a part that differs between gateways: they would otherwise
@@ -77,23 +77,23 @@
   limit.FilledAt = now;
 }
 
-void ServerLimits::take(base::Instant now, Limit &limit, double count) const {
+void RequestLimits::take(base::Instant now, Limit &limit, double count) const {
   fill(now, limit);
   const double maxDebt =
       std::max(MaxDebtRequests, *limit.RequestsPerSecond * MaxDebtTime.count());
   limit.Tokens = std::max(limit.Tokens - count, -maxDebt);
 }
 
-void ServerLimits::setRate(base::Instant now, Limit &limit,
-                           std::optional<double> rate,
-                           std::string_view source) {
+void RequestLimits::setRate(base::Instant now, Limit &limit,
+                            std::optional<double> rate,
+                            std::string_view source) {
   if (rate)
     rate = std::max(*rate, MinRequestsPerSecond);
   if (limit.RequestsPerSecond)
     fill(now, limit);
   const bool isChanged = limit.RequestsPerSecond != rate;
   if (!limit.RequestsPerSecond && rate) {
-    // The server is in need: it has enough requests already.
+    // A server that has just named a limit is overloaded already.
     limit.Tokens = 0;
     limit.FilledAt = now;
     limit.Share = availableShare(now);
@@ -106,8 +106,8 @@
     OnChange(report(now, limit), source);
 }
 
-void ServerLimits::recordResponse(base::Instant now,
-                                  const LimitObservation &seen) {
+void RequestLimits::recordResponse(base::Instant now,
+                                   const LimitObservation &seen) {
   const auto it = Limits.find(seen.Server.Id);
   if (!seen.RequestsPerSecond) {
     // A request sent before the limit was named says nothing about its end.
@@ -120,7 +120,7 @@
   setRate(now, limit, seen.RequestsPerSecond, "server");
 }
 
-bool ServerLimits::recordSend(base::Instant now, std::string_view id) {
+bool RequestLimits::recordSend(base::Instant now, std::string_view id) {
   Limit *limit = findActive(id);
   if (!limit)
     return false;
@@ -130,12 +130,12 @@
   return true;
 }
 
-bool ServerLimits::hasRoom(base::Instant now, std::string_view id) {
+bool RequestLimits::hasRoom(base::Instant now, std::string_view id) {
   return timeUntilRoom(now, id) == base::Duration(0);
 }
 
-base::Duration ServerLimits::timeUntilRoom(base::Instant now,
-                                           std::string_view id) {
+base::Duration RequestLimits::timeUntilRoom(base::Instant now,
+                                            std::string_view id) {
   Limit *limit = findActive(id);
   if (!limit)
     return base::Duration(0);
@@ -147,19 +147,19 @@
   return std::chrono::ceil<base::Duration>(wait);
 }
 
-LimitReport ServerLimits::report(base::Instant now, const Limit &limit) const {
+LimitReport RequestLimits::report(base::Instant now, const Limit &limit) const {
   return {limit.Server, limit.RequestsPerSecond, now - limit.ObservedAt,
           limit.OwnSends};
 }
 
-std::vector<LimitReport> ServerLimits::reports(base::Instant now) const {
+std::vector<LimitReport> RequestLimits::reports(base::Instant now) const {
   std::vector<LimitReport> all;
   for (const auto &[id, limit] : Limits)
     all.push_back(report(now, limit));
   return all;
 }
 
-std::vector<LimitReport> ServerLimits::takeChangedReports(base::Instant now) {
+std::vector<LimitReport> RequestLimits::takeChangedReports(base::Instant now) {
   std::vector<LimitReport> reports;
   for (auto &[id, limit] : Limits) {
     if (!limit.IsChanged)
@@ -170,8 +170,8 @@
   return reports;
 }
 
-void ServerLimits::applyReport(base::Instant now, const GatewayInstance &from,
-                               const LimitReport &seen) {
+void RequestLimits::applyReport(base::Instant now, const GatewayInstance &from,
+                                const LimitReport &seen) {
   const auto it = Limits.find(seen.Server.Id);
   // An earlier life of the server.
   if (it != Limits.end() && seen.Server.StartedAt < it->second.Server.StartedAt)
@@ -201,7 +201,7 @@
   take(now, limit, static_cast<double>(seen.Sends - before) * recent);
 }
 
-void ServerLimits::evict(
+void RequestLimits::evict(
     base::Instant now,
     const std::function<bool(std::string_view id)> &isKnown) {
   std::erase_if(Limits, [&](const auto &entry) {
--- a/src/gateway/shell.cc
+++ b/src/gateway/shell.cc
@@ -37,7 +37,7 @@
   };
   Ctx.Limits.OnChange = [this](const LimitReport &limit,
                                std::string_view source) {
-    Ctx.Log.write("server-limit",
+    Ctx.Log.write("request-limit",
                   {{"server", limit.Server.Id},
                    {"is_limited", limit.RequestsPerSecond.has_value()},
                    {"per_second", limit.RequestsPerSecond.value_or(0)},
--- a/src/gateway/stream-forwarder.cc
+++ b/src/gateway/stream-forwarder.cc
@@ -122,7 +122,7 @@
         Ctx.now(), *F.ChosenService, demand, F.TriedServers);
     const auto wait = logReachedLimits(F, choice.Chosen);
     if (!choice.Chosen) {
-      logStreamEnd(wait ? "server limits" : "no server");
+      logStreamEnd(wait ? "request limits" : "no server");
       co_await X.send(makeNoServerRefusal(F, wait));
       co_return false;
     }
--- a/support/mutants.sh
+++ b/support/mutants.sh
@@ -16,7 +16,7 @@
   shift 2
 fi
 UNITS=(gateway-test platform-test sidecar-test forwarding-test store-session-test
-  server-limit-test)
+  request-limit-test)
 PROGRAMS=(drumlanding-gateway drumlanding-sidecar fake-platform soak)
 SOAK_SEED=501
 
@@ -40,11 +40,11 @@
 stop-waits-for-nothing|src/gateway/shell.cc|s/while \(Ctx\.OpenRequests > 0 && Ctx\.now\(\) < Ctx\.stopDeadline\(\)\);/while (false);/
 duration-limits-transfer|src/http/client.cc|s/timeouts\.Idle, std::move/std::nullopt, std::move/
 config-transferred-twice|src/gateway/gossip.cc|s/peer && !Ctx\.StoreTransfer\.isActive\(now\)/peer/
-limit-ignored|src/gateway/server-limits.cc|s/if \(limit->Tokens >= 1\)/if (true)/
+limit-ignored|src/gateway/request-limits.cc|s/if \(limit->Tokens >= 1\)/if (true)/
 limits-not-reported|src/gateway/gossip.cc|s/\*message\.add_limits\(\) = toWire\(report\);/(void)report;/g
-other-sends-not-counted|src/gateway/server-limits.cc|s/take\(now, limit, static_cast<double>\(seen\.Sends - before\)\);/(void)before;/
-silent-gateways-forgotten|src/gateway/server-limits.cc|s/std::clamp\(AvailableShare\(now\), MinShare, 1\.0\)/1.0 + 0 * MinShare/
-limit-never-ends|src/gateway/server-limits.cc|s/  if \(!seen\.RequestsPerSecond\) \{/  if (!seen.RequestsPerSecond) {\n    return;/
+other-sends-not-counted|src/gateway/request-limits.cc|s| \* recent\);| * 0 * recent);|
+silent-gateways-forgotten|src/gateway/request-limits.cc|s/std::clamp\(AvailableShare\(now\), MinShare, 1\.0\)/1.0 + 0 * MinShare/
+limit-never-ends|src/gateway/request-limits.cc|s/  if \(!seen\.RequestsPerSecond\) \{/  if (!seen.RequestsPerSecond) {\n    return;/
 migration-not-counted|src/gateway/migrator.cc|s/    countTowardsLimit\(Ctx, to\.Listed\.Id\);\n//
 LIST
 )
--- a/test/gateway-random-test.cc
+++ b/test/gateway-random-test.cc
@@ -110,7 +110,7 @@
   Directory Servers;
   RunTable Runs;
   Peers Others;
-  ServerLimits Limits{0};
+  RequestLimits Limits{0};
   Placement Placing;
   RetryBudget Retries;
   base::Instant StartedAt;
--- a/test/gateway-test.cc
+++ b/test/gateway-test.cc
@@ -727,7 +727,7 @@
   Directory Servers;
   RunTable Runs;
   Service Llm;
-  ServerLimits Limits{0};
+  RequestLimits Limits{0};
   Placement Placing{Servers, Runs, Limits, "a"};
 };
 
@@ -985,13 +985,13 @@
 
 // Limits that servers name.
 
-struct ServerLimitsTest : testing::Test {
+struct RequestLimitsTest : testing::Test {
   static constexpr double Rate = 2;
   const ServerInstance Limited{"s1", milliseconds(1'000)};
   const GatewayInstance Other{"10.0.0.2:9", 1};
 
   /// Returns how many requests a gateway may send within a time.
-  static int sendsWithin(ServerLimits &limits, base::Instant from,
+  static int sendsWithin(RequestLimits &limits, base::Instant from,
                          base::Duration length) {
     int sends = 0;
     for (base::Duration t{0}; t < length; t += milliseconds(5)) {
@@ -1007,17 +1007,17 @@
     return {Limited, rate, milliseconds(0), sends};
   }
 
-  ServerLimits Limits{0.5};
+  RequestLimits Limits{0.5};
 };
 
-TEST_F(ServerLimitsTest, ServersWithoutALimitTakeAnything) {
+TEST_F(RequestLimitsTest, ServersWithoutALimitTakeAnything) {
   EXPECT_TRUE(Limits.hasRoom(Start, "s1"));
   EXPECT_FALSE(Limits.recordSend(Start, "s1"));
   Limits.recordResponse(Start, {Limited, Start, std::nullopt});
   EXPECT_TRUE(Limits.isEmpty());
 }
 
-TEST_F(ServerLimitsTest, TheRateIsKeptAndUsed) {
+TEST_F(RequestLimitsTest, TheRateIsKeptAndUsed) {
   Limits.recordResponse(Start, {Limited, Start, Rate});
   EXPECT_FALSE(Limits.hasRoom(Start, "s1"));
   EXPECT_EQ(Limits.timeUntilRoom(Start, "s1"), milliseconds(500));
@@ -1029,7 +1029,7 @@
 }
 
 /// Guards against a gateway that does not count what the others send.
-TEST_F(ServerLimitsTest, RequestsOfOtherGatewaysCount) {
+TEST_F(RequestLimitsTest, RequestsOfOtherGatewaysCount) {
   Limits.recordResponse(Start, {Limited, Start, Rate});
   Limits.applyReport(Start, Other, report(7));
   base::Instant now = Start + seconds(30);
@@ -1047,13 +1047,13 @@
 
 /// Guards against a gateway that keeps sending until a response of the server
 /// itself has named the limit.
-TEST_F(ServerLimitsTest, ALimitIsLearnedFromAnotherGateway) {
+TEST_F(RequestLimitsTest, ALimitIsLearnedFromAnotherGateway) {
   Limits.applyReport(Start, Other, report(0));
   EXPECT_FALSE(Limits.hasRoom(Start, "s1"));
   EXPECT_LE(sendsWithin(Limits, Start, seconds(4)), 9);
 }
 
-TEST_F(ServerLimitsTest, ALimitThatFallsHoldsAtOnce) {
+TEST_F(RequestLimitsTest, ALimitThatFallsHoldsAtOnce) {
   Limits.recordResponse(Start, {Limited, Start, 100});
   const base::Instant now = Start + seconds(5);
   ASSERT_TRUE(Limits.hasRoom(now, "s1"));
@@ -1063,7 +1063,7 @@
 
 /// A response without the limit ends it, unless its request was sent before the
 /// limit was named.
-TEST_F(ServerLimitsTest, ALimitEndsWithAResponseThatNamesNone) {
+TEST_F(RequestLimitsTest, ALimitEndsWithAResponseThatNamesNone) {
   const base::Instant named = Start + seconds(1);
   Limits.recordResponse(named, {Limited, Start, Rate});
   Limits.recordResponse(named + milliseconds(5),
@@ -1083,7 +1083,7 @@
 
 /// Guards against a limit that ends for one gateway and not for those that send
 /// the server nothing.
-TEST_F(ServerLimitsTest, TheEndOfALimitIsLearnedFromAnotherGateway) {
+TEST_F(RequestLimitsTest, TheEndOfALimitIsLearnedFromAnotherGateway) {
   Limits.recordResponse(Start, {Limited, Start, Rate});
   Limits.applyReport(Start + seconds(2), Other,
                      {Limited, std::nullopt, milliseconds(10), 1});
@@ -1092,7 +1092,7 @@
 
 /// Guards against a restarted server, under the same id, that inherits the
 /// limit of its earlier life.
-TEST_F(ServerLimitsTest, ARestartedServerHasNoLimit) {
+TEST_F(RequestLimitsTest, ARestartedServerHasNoLimit) {
   const ServerInstance restarted{"s1", milliseconds(9'000)};
   Limits.recordResponse(Start, {Limited, Start, Rate});
   Limits.applyReport(Start + seconds(1), Other,
@@ -1105,11 +1105,11 @@
 
 /// Guards against gateways that each use the entire limit while they do not
 /// hear each other.
-TEST_F(ServerLimitsTest, GatewaysThatHearNobodyKeepToTheirShare) {
+TEST_F(RequestLimitsTest, GatewaysThatHearNobodyKeepToTheirShare) {
   constexpr int Gateways = 10;
   int sends = 0;
   for (int i = 0; i < Gateways; ++i) {
-    ServerLimits limits(static_cast<double>(i) / Gateways);
+    RequestLimits limits(static_cast<double>(i) / Gateways);
     bool isAlone = false;
     limits.AvailableShare = [&](base::Instant) {
       return isAlone ? 1.0 / Gateways : 1.0;
@@ -1124,7 +1124,7 @@
 
 /// Guards against a gateway that sends nothing for as long as it was frozen,
 /// because all that the others sent meanwhile is reported at once.
-TEST_F(ServerLimitsTest, AGatewaySendsAgainSoonAfterAFreeze) {
+TEST_F(RequestLimitsTest, AGatewaySendsAgainSoonAfterAFreeze) {
   Limits.recordResponse(Start, {Limited, Start, Rate});
   Limits.applyReport(Start, Other, report(1));
   const base::Instant now = Start + seconds(60);
@@ -1135,20 +1135,20 @@
 
 /// Guards against a gateway that starts in debt for all that the others have
 /// ever sent.
-TEST_F(ServerLimitsTest, AGatewayThatStartsOwesNothing) {
+TEST_F(RequestLimitsTest, AGatewayThatStartsOwesNothing) {
   Limits.applyReport(Start, Other, report(500));
   EXPECT_LE(Limits.timeUntilRoom(Start, "s1"), milliseconds(500));
 }
 
 /// A server that takes nothing is asked now and then, or the end of its limit
 /// would never be seen.
-TEST_F(ServerLimitsTest, ALimitOfZeroAllowsATrial) {
+TEST_F(RequestLimitsTest, ALimitOfZeroAllowsATrial) {
   Limits.recordResponse(Start, {Limited, Start, 0});
   EXPECT_FALSE(Limits.hasRoom(Start + seconds(30), "s1"));
   EXPECT_TRUE(Limits.hasRoom(Start + seconds(61), "s1"));
 }
 
-TEST_F(ServerLimitsTest, RemovedServersAndEndedLimitsAreForgotten) {
+TEST_F(RequestLimitsTest, RemovedServersAndEndedLimitsAreForgotten) {
   const auto isKnown = [](std::string_view id) { return id == "s1"; };
   Limits.recordResponse(Start, {Limited, Start, Rate});
   Limits.recordResponse(Start, {{"s2", milliseconds(1)}, Start, Rate});
@@ -1163,7 +1163,7 @@
   EXPECT_TRUE(Limits.isEmpty());
 }
 
-TEST_F(ServerLimitsTest, OnlyChangesAreReported) {
+TEST_F(RequestLimitsTest, OnlyChangesAreReported) {
   Limits.recordResponse(Start, {Limited, Start, 100});
   EXPECT_EQ(Limits.takeChangedReports(Start).size(), 1U);
   EXPECT_TRUE(Limits.takeChangedReports(Start).empty());
--- a/test/server-limit-test.cc
+++ b/test/request-limit-test.cc
@@ -105,7 +105,7 @@
   double ShortestRetryAfter = 1e9;
 };
 
-class ServerLimitTest : public testing::Test {
+class RequestLimitTest : public testing::Test {
 protected:
   StoreReader storeReader() {
     StoreReader s;
@@ -266,7 +266,7 @@
 
 /// Guards against gateways that send a server more than the limit that it has
 /// named for all of them (issue 23, LIMIT).
-TEST_F(ServerLimitTest, AServersLimitHoldsOverAllGateways) {
+TEST_F(RequestLimitTest, AServersLimitHoldsOverAllGateways) {
   LimitedServer &limited = addServer("s1");
   addServer("s2");
   startGateways(5);
@@ -281,7 +281,7 @@
 
 /// Guards against requests that wait for, or are sent to, servers that all have
 /// reached their limits (issue 23, LIMIT).
-TEST_F(ServerLimitTest, WhatFitsNowhereIsRefusedAtOnce) {
+TEST_F(RequestLimitTest, WhatFitsNowhereIsRefusedAtOnce) {
   LimitedServer &limited = addServer("s1");
   startGateways(3);
   runTest([&]() -> asio::awaitable<void> {
--- a/tools/limit-simulation.cc
+++ b/tools/limit-simulation.cc
@@ -3,7 +3,7 @@
 #include "engine-model.h"
 
 #include "drumlanding/base/hash.h"
-#include "drumlanding/gateway/server-limits.h"
+#include "drumlanding/gateway/request-limits.h"
 
 #include <algorithm>
 #include <deque>
@@ -20,8 +20,8 @@
 using base::milliseconds;
 using base::seconds;
 using gateway::LimitReport;
+using gateway::RequestLimits;
 using gateway::ServerInstance;
-using gateway::ServerLimits;
 
 constexpr milliseconds Step{1};
 constexpr double StepsPerSecond = seconds(1) / Step;
@@ -46,7 +46,7 @@
     ++node.Incarnation;
     node.StartedAt = Now;
     node.LastHeard.assign(Nodes.size(), Instant{});
-    node.Limits = std::make_unique<ServerLimits>(Random.unit());
+    node.Limits = std::make_unique<RequestLimits>(Random.unit());
     node.Limits->AvailableShare = [this, i](Instant) { return share(i); };
   }
 
@@ -80,7 +80,7 @@
   }
 
   int size() const { return static_cast<int>(Nodes.size()); }
-  ServerLimits &limits(int i) { return *Nodes[i].Limits; }
+  RequestLimits &limits(int i) { return *Nodes[i].Limits; }
 
   Instant Now = Start;
   double LossRatio = 0;
@@ -90,7 +90,7 @@
 
 private:
   struct Node {
-    std::unique_ptr<ServerLimits> Limits;
+    std::unique_ptr<RequestLimits> Limits;
     std::uint64_t Incarnation = 0;
     Instant StartedAt{};
     std::vector<Instant> LastHeard;
@@ -282,7 +282,7 @@
   /// the engines with room.
   void place(int gateway) {
     const Instant now = Gateways.Now;
-    ServerLimits &limits = Gateways.limits(gateway);
+    RequestLimits &limits = Gateways.limits(gateway);
     Engine *best = nullptr;
     double bestRank = 0;
     for (Engine &engine : Engines) {
--- a/tools/limit-simulation.h
+++ b/tools/limit-simulation.h
@@ -1,4 +1,4 @@
-/// Runs the production ServerLimits of many gateways on a virtual clock, with
+/// Runs the production RequestLimits of many gateways on a virtual clock, with
 /// reports between them that are late or lost, and measures how well they keep
 /// the limits of servers together.
 ///
