--- a/support/mutants.sh
+++ b/support/mutants.sh
@@ -42,7 +42,7 @@
 config-transferred-twice|src/gateway/gossip.cc|s/peer && !Ctx\.StoreTransfer\.isActive\(now\)/peer/
 limit-ignored|src/gateway/request-limits.cc|s/if \(limit->Tokens >= 1\)/if (true)/
 limits-not-reported|src/gateway/gossip.cc|s/\*message\.add_limits\(\) = toWire\(report\);/(void)report;/g
-other-sends-not-counted|src/gateway/request-limits.cc|s| \* recent\);| * 0 * recent);|
+other-sends-not-counted|src/gateway/request-limits.cc|s/ \* recent\);/ * 0 * recent);/
 silent-gateways-forgotten|src/gateway/request-limits.cc|s/std::clamp\(AvailableShare\(now\), MinShare, 1\.0\)/1.0 + 0 * MinShare/
 limit-never-ends|src/gateway/request-limits.cc|s/  if \(!seen\.RequestsPerSecond\) \{/  if (!seen.RequestsPerSecond) {\n    return;/
 migration-not-counted|src/gateway/migrator.cc|s/    countTowardsLimit\(Ctx, to\.Listed\.Id\);\n//
