entry: A roll-out of adapters converges when the engines have loaded them

What operators would see: all engines of a service reload at once when a bundle changes only adapters, since the next plan was written before the first engine had loaded its own. Cause: reportsAllModels compared models and versions, though the reports list adapters as well.

--- a/src/entry/plan-leader.cc
+++ b/src/entry/plan-leader.cc
@@ -27,12 +27,19 @@
 
 bool reportsAllModels(const wire::Report &report,
                       const plan::Assignment &assigned) {
+  const auto isReported = [&](const std::string &name) {
+    return std::find(report.models().begin(), report.models().end(), name) !=
+           report.models().end();
+  };
   return std::all_of(assigned.Models.begin(), assigned.Models.end(),
                      [&](const plan::LoadedModel &m) {
                        const std::string name = m.Model + "@" + m.Version;
-                       return std::find(report.models().begin(),
-                                        report.models().end(),
-                                        name) != report.models().end();
+                       return isReported(name) &&
+                              std::all_of(m.Adapters.begin(), m.Adapters.end(),
+                                          [&](const std::string &adapter) {
+                                            return isReported(name + "+" +
+                                                              adapter);
+                                          });
                      });
 }
 
--- a/src/entry/plan-leader.h
+++ b/src/entry/plan-leader.h
@@ -23,8 +23,8 @@
   bool IsConverged = true;
 };
 
-/// Returns true when a report lists every model and version of an assignment.
-/// Adapters are not compared.
+/// Returns true when a report lists every model of an assignment, with its
+/// version and adapters.
 bool reportsAllModels(const wire::Report &report,
                       const plan::Assignment &assigned);
 
