gateway: Skip versions of a config that are written faster than transferred

Two cases with a slow path to the store: - A watch returns each version written since the last one, and the next watch those written meanwhile, so that a gateway falls behind: with seven versions in 0.7 s it had version 6 after 2.3 s and not the last after 2.8 s. A gateway that has taken a config from a watch now reads the newest if another gateway announces one. - A transfer from the store prevented one from another gateway for as long as a config may take to be in force, which left no time for it. Now for half of that.

VersionsInQuickSuccessionAreSkipped and ASlowPathToTheStoreDoesNotDelayAConfig failed before and pass.

--- a/src/gateway/gateway-context.h
+++ b/src/gateway/gateway-context.h
@@ -90,8 +90,10 @@
   /// The encoded config in force, served to peers with an older one.
   std::string ConfigText;
   /// Transfers of a config to this gateway, from the store and from a peer.
-  ConfigTransfer StoreTransfer{Settings.MaxConfigApplyTime};
-  ConfigTransfer PeerTransfer{Settings.MaxConfigApplyTime};
+  /// Either prevents the other for half of the time limit, so that a source
+  /// that is slow leaves the other half.
+  ConfigTransfer StoreTransfer{Settings.MaxConfigApplyTime / 2};
+  ConfigTransfer PeerTransfer{Settings.MaxConfigApplyTime / 2};
   /// When the server list was last confirmed by the store, either by this
   /// gateway or by a peer that shares the same list.
   base::Instant ListConfirmedAt{};
@@ -123,6 +125,14 @@
   bool hasStoreContact() const {
     return WatchesList && now() - ListReadAt < MaxListAge;
   }
+  /// Returns the version of the config in force; 0 when there is none.
+  std::uint64_t configVersion() const {
+    return Routes ? Routes->config().Version : 0;
+  }
+  /// Returns a peer whose config is newer than the one in force.
+  std::optional<Peer> peerWithNewerConfig() const {
+    return GatewayPeers.withNewerConfig(now(), configVersion());
+  }
   /// Returns a handler that records the progress of a config's transfer.
   http::ProgressHandler trackProgress(ConfigTransfer &transfer) const {
     return [this, &transfer] { transfer.recordProgress(now()); };
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -130,7 +130,7 @@
   message.set_name(Ctx.Settings.Name);
   message.set_address(base::toString(Ctx.Settings.ControlListen));
   message.set_incarnation(Ctx.Incarnation);
-  message.set_config_version(Ctx.Routes ? Ctx.Routes->config().Version : 0);
+  message.set_config_version(Ctx.configVersion());
   const base::Instant from =
       Ctx.hasStoreContact() ? Ctx.ListReadAt : Ctx.ListConfirmedAt;
   message.set_list_age_ms(static_cast<std::uint64_t>(base::toMs(now - from)));
@@ -324,8 +324,7 @@
   for (;;) {
     co_await sleepFor(CheckInterval);
     const base::Instant now = Ctx.now();
-    const std::uint64_t version = Ctx.Routes ? Ctx.Routes->config().Version : 0;
-    const auto peer = Ctx.GatewayPeers.withNewerConfig(now, version);
+    const auto peer = Ctx.peerWithNewerConfig();
     // A second transfer would slow down the one from the store.
     if (peer && !Ctx.StoreTransfer.isActive(now))
       co_await fetchConfig(*peer);
--- a/src/gateway/store-watch.cc
+++ b/src/gateway/store-watch.cc
@@ -35,7 +35,8 @@
 constexpr milliseconds ChangeBatchDelay{400};
 /// Interval of the checks whether a peer has finished sending a config.
 constexpr milliseconds TransferCheckInterval{50};
-/// Delay before a resync after the history was compacted.
+/// Delay before the config or the list is read again after its history was
+/// compacted, or after newer versions have been written.
 constexpr milliseconds ResyncDelay{150};
 /// Initial and maximum backoff while the store is unreachable. The maximum is
 /// longer for a gateway whose peers relay changes to it.
@@ -199,8 +200,14 @@
     health.recordSuccess();
     ctx.ConfigConfirmedAt = ctx.now();
     revision = value(change).Revision;
-    if (!value(change).Text.empty())
-      ctx.applyConfig(std::move(value(change).Text), "store");
+    if (value(change).Text.empty())
+      continue;
+    ctx.applyConfig(std::move(value(change).Text), "store");
+    // The next watch would return each version written meanwhile. A read
+    // returns only the newest.
+    if (ctx.peerWithNewerConfig())
+      co_return base::Error{base::ErrorCode::NotFound, "config",
+                            "newer versions have been written"};
   }
 }
 
@@ -234,8 +241,13 @@
     }
     health.recordSuccess();
     ctx.ConfigConfirmedAt = ctx.now();
+    const std::uint64_t previous = ctx.configVersion();
     if (!value(read).Text.empty())
       ctx.applyConfig(std::move(value(read).Text), "store");
+    if (ctx.configVersion() > previous && ctx.peerWithNewerConfig()) {
+      co_await sleepFor(ResyncDelay);
+      continue;
+    }
     const base::Error e =
         co_await followConfig(ctx, health, value(read).Revision);
     // A compacted history is not a failure of the store: resync after a short
--- a/test/store-session-test.cc
+++ b/test/store-session-test.cc
@@ -104,6 +104,8 @@
 
   void put(const std::string &key, std::string value) {
     Entries[key] = {std::move(value), ++Revision, false};
+    if (key == "op/config")
+      ConfigHistory.push_back(Entries[key]);
   }
 
   void remove(const std::string &key) { Entries[key] = {"", ++Revision, true}; }
@@ -133,6 +135,17 @@
     return json;
   }
 
+  /// Returns the changes after a revision: of the config, each version.
+  Json changes(std::string_view prefix, std::uint64_t after) const {
+    if (!std::string_view("op/config").starts_with(prefix))
+      return entries(prefix, after, true);
+    Json list = Json::array();
+    for (const Entry &version : ConfigHistory)
+      if (version.Revision > after)
+        list.push_back(toJson("op/config", version));
+    return list;
+  }
+
   Json entries(std::string_view prefix, std::uint64_t after,
                bool withRemoved) const {
     Json list = Json::array();
@@ -179,7 +192,7 @@
         co_await sleepFor(TestLimit);
         co_return;
       }
-      events = entries(prefix, after, true);
+      events = changes(prefix, after);
     }
     Json answer{{"events", std::move(events)}, {"at", Revision}};
     co_await sendOver(Link, x, answer.dump(),
@@ -187,6 +200,7 @@
   }
 
   std::map<std::string, Entry> Entries;
+  std::vector<Entry> ConfigHistory;
   std::uint64_t Revision = 1;
   int ConnectionEpoch = 0;
   std::unique_ptr<http::Server> Listener;
@@ -610,6 +624,56 @@
   });
 }
 
+/// Guards against a gateway that waits for a slow transfer from the store until
+/// the config should be in force, although another gateway has it.
+TEST_F(SlowLinkTest, ASlowPathToTheStoreDoesNotDelayAConfig) {
+  FakePeer peer(Io, {&FirstServer, &SecondServer});
+  peer.ConfigText = largeConfig(2, 3 * RouteCount);
+  startGateway({peer.Address});
+  runTest([&]() -> asio::awaitable<void> {
+    constexpr milliseconds GossipInterval{100};
+    Store.Link = &Link;
+    Store.put("op/config", peer.ConfigText);
+    peer.ConfigVersion = 2;
+    for (milliseconds t{0}; t < MaxConfigApplyTime; t += GossipInterval) {
+      co_await sleepFor(GossipInterval);
+      peer.sendGossip(ControlAddress, "");
+    }
+    const int status = co_await statusOf("/last/x");
+    EXPECT_EQ(status, 200);
+  });
+}
+
+/// Guards against a gateway that transfers each version of a config that
+/// changes faster than one can be transferred.
+TEST_F(SlowLinkTest, VersionsInQuickSuccessionAreSkipped) {
+  constexpr int SmallCount = RouteCount / 3;
+  constexpr int LastVersion = 9;
+  FakePeer peer(Io, {&FirstServer, &SecondServer});
+  startGateway({peer.Address});
+  runTest([&]() -> asio::awaitable<void> {
+    constexpr milliseconds ChangeInterval{100};
+    Store.Link = &Link;
+    peer.Link = &Link;
+    for (int version = 2; version <= LastVersion; ++version) {
+      peer.ConfigText = version < LastVersion
+                            ? largeConfig(version, SmallCount)
+                            : largeConfig(version, RouteCount / 2);
+      peer.ConfigVersion = static_cast<std::uint64_t>(version);
+      Store.put("op/config", peer.ConfigText);
+      peer.sendGossip(ControlAddress, "");
+      co_await sleepFor(ChangeInterval);
+    }
+    for (milliseconds t{0}; t < MaxConfigApplyTime; t += ChangeInterval) {
+      peer.sendGossip(ControlAddress, "");
+      co_await sleepFor(ChangeInterval);
+    }
+    const int status =
+        co_await statusOf("/more" + std::to_string(RouteCount / 2 - 1) + "/x");
+    EXPECT_EQ(status, 200);
+  });
+}
+
 /// Guards against a gateway that never becomes ready after a restart, because
 /// the config does not arrive within the time limit of a read (issue 23,
 /// CONFIG).
