--- a/src/gateway/request-limits.cc
+++ b/src/gateway/request-limits.cc
@@ -26,7 +26,7 @@
 }
 
 /// Returns true if both start times are known and differ.
-bool isOtherLife(const ServerInstance &a, const ServerInstance &b) {
+bool isOtherInstance(const ServerInstance &a, const ServerInstance &b) {
   constexpr base::milliseconds Unknown{0};
   return a.StartedAt != b.StartedAt && a.StartedAt != Unknown &&
          b.StartedAt != Unknown;
@@ -44,7 +44,7 @@
                                                const ServerInstance &server) {
   const auto [it, isNew] = Limits.try_emplace(server.Id);
   Limit &limit = it->second;
-  if (isNew || isOtherLife(limit.Server, server)) {
+  if (isNew || isOtherInstance(limit.Server, server)) {
     limit = Limit();
     limit.Server = server;
     limit.FilledAt = now;
@@ -111,7 +111,7 @@
   const auto it = Limits.find(seen.Server.Id);
   if (!seen.RequestsPerSecond) {
     // A request sent before the limit was named says nothing about its end.
-    if (it == Limits.end() || isOtherLife(it->second.Server, seen.Server) ||
+    if (it == Limits.end() || isOtherInstance(it->second.Server, seen.Server) ||
         seen.SentAt < it->second.ObservedAt)
       return;
   }
@@ -173,7 +173,7 @@
 void RequestLimits::applyReport(base::Instant now, const GatewayInstance &from,
                                 const LimitReport &seen) {
   const auto it = Limits.find(seen.Server.Id);
-  // An earlier life of the server.
+  // A report on an earlier instance of the server.
   if (it != Limits.end() && seen.Server.StartedAt < it->second.Server.StartedAt)
     return;
   Limit &limit = findOrAdd(now, seen.Server);
--- a/test/forwarding-test.cc
+++ b/test/forwarding-test.cc
@@ -2,6 +2,7 @@
 // and migrations, with the faults that can occur in each. Tests wait for
 // conditions instead of fixed times; only the test of the resync delay measures
 // a rate.
+#include "free-endpoint.h"
 #include "platform/protocol-codec.h"
 #include "shell.h"
 
@@ -23,6 +24,7 @@
 using base::milliseconds;
 using base::seconds;
 using daemon::sleepFor;
+using test::freeEndpoint;
 namespace ip = asio::ip;
 
 /// Time limit after which a hanging test fails.
@@ -32,12 +34,6 @@
 /// takes to arrive.
 constexpr int MigrationEvents = 300;
 
-base::Endpoint freeEndpoint() {
-  asio::io_context io;
-  ip::tcp::acceptor a(io, {ip::make_address("127.0.0.1"), 0});
-  return {"127.0.0.1", a.local_endpoint().port()};
-}
-
 std::string eventText(int id) {
   return "id: " + std::to_string(id) + "\ndata: e" + std::to_string(id) +
          "\n\n";
--- a/test/gateway-test.cc
+++ b/test/gateway-test.cc
@@ -1091,14 +1091,14 @@
 }
 
 /// Guards against a restarted server, under the same id, that inherits the
-/// limit of its earlier life.
+/// limit of its earlier instance.
 TEST_F(RequestLimitsTest, ARestartedServerHasNoLimit) {
   const ServerInstance restarted{"s1", milliseconds(9'000)};
   Limits.recordResponse(Start, {Limited, Start, Rate});
   Limits.applyReport(Start + seconds(1), Other,
                      {restarted, std::nullopt, milliseconds(0), 0});
   EXPECT_TRUE(Limits.hasRoom(Start + seconds(1), "s1"));
-  // A late report on the earlier life.
+  // A late report on the earlier instance.
   Limits.applyReport(Start + seconds(1), Other, report(5));
   EXPECT_TRUE(Limits.hasRoom(Start + seconds(1), "s1"));
 }
--- a/test/request-limit-test.cc
+++ b/test/request-limit-test.cc
@@ -1,5 +1,6 @@
 // Runs several gateways against servers that limit how many requests they take
 // from all gateways together.
+#include "free-endpoint.h"
 #include "platform/protocol-codec.h"
 #include "shell.h"
 
@@ -17,6 +18,7 @@
 using base::milliseconds;
 using base::seconds;
 using daemon::sleepFor;
+using test::freeEndpoint;
 
 /// Time limit after which a hanging test fails.
 constexpr seconds TestLimit{20};
@@ -31,12 +33,6 @@
 /// A refused request is answered this fast.
 constexpr milliseconds MaxRefusalTime{100};
 
-base::Endpoint freeEndpoint() {
-  asio::io_context io;
-  asio::ip::tcp::acceptor a(io, {asio::ip::make_address("127.0.0.1"), 0});
-  return {"127.0.0.1", a.local_endpoint().port()};
-}
-
 /// A server of a plain service that records when requests arrive.
 class LimitedServer {
 public:
--- a/test/sidecar-test.cc
+++ b/test/sidecar-test.cc
@@ -1,5 +1,6 @@
 // Runs a sidecar in one process with a fake engine and a fake gateway that only
 // receives. Tests wait for conditions, not for times.
+#include "free-endpoint.h"
 #include "sidecar.h"
 
 #include "drumlanding/daemon/sleep.h"
@@ -17,18 +18,13 @@
 using base::milliseconds;
 using base::seconds;
 using daemon::sleepFor;
+using test::freeEndpoint;
 namespace wire = gateway::wire;
 
 /// Longer than any test takes, so that a hang fails the test.
 constexpr seconds TestLimit{20};
 constexpr milliseconds Step{2};
 
-base::Endpoint freeEndpoint() {
-  asio::io_context io;
-  asio::ip::tcp::acceptor a(io, {asio::ip::make_address("127.0.0.1"), 0});
-  return {"127.0.0.1", a.local_endpoint().port()};
-}
-
 class SidecarTest : public testing::Test {
 protected:
   void SetUp() override {
--- a/test/store-session-test.cc
+++ b/test/store-session-test.cc
@@ -1,5 +1,6 @@
 // Runs a complete gateway against a fake of the platform's store whose open
 // connections go silent or which is unreachable for this gateway only.
+#include "free-endpoint.h"
 #include "gateway.pb.h"
 #include "platform/protocol-codec.h"
 #include "platform/store-reader.h"
@@ -22,6 +23,7 @@
 using base::milliseconds;
 using base::seconds;
 using daemon::sleepFor;
+using test::freeEndpoint;
 using Json = nlohmann::json;
 
 /// Time limit after which a hanging test fails.
@@ -37,12 +39,6 @@
 /// gone silent.
 constexpr milliseconds MaxReconnectTime{3'000};
 
-base::Endpoint freeEndpoint() {
-  asio::io_context io;
-  asio::ip::tcp::acceptor a(io, {asio::ip::make_address("127.0.0.1"), 0});
-  return {"127.0.0.1", a.local_endpoint().port()};
-}
-
 /// Limits the rate of several senders together, as a VM's link limits what it
 /// receives.
 class LimitedLink {
