--- /dev/null
+++ b/test/query-of-death-test.cc
@@ -0,0 +1,454 @@
+// Runs several gateways against servers that end when they get a certain
+// request, among ordinary requests. Counts what arrives at the servers, not
+// what a gateway believes.
+#include "free-endpoint.h"
+#include "platform/protocol-codec.h"
+#include "shell.h"
+
+#include "drumlanding/daemon/sleep.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+#include <set>
+
+namespace drumlanding::gateway {
+namespace {
+
+using base::milliseconds;
+using base::seconds;
+using boost::system::error_code;
+using daemon::sleepFor;
+using test::freeEndpoint;
+using tcp = asio::ip::tcp;
+
+/// Time limit after which a hanging test fails.
+constexpr seconds TestLimit{30};
+constexpr milliseconds PollInterval{5};
+/// From the arrival of the request of death to the end of the server.
+constexpr milliseconds TimeToEnd{20};
+/// The servers that one request may end. It is not sent to another one after
+/// that.
+constexpr std::size_t MaxEndedServers = 3;
+constexpr std::string_view DeadlyPath = "/deadly";
+
+/// What a server does when it gets the request of death.
+enum class EndMode {
+  Crash,   ///< Closes its port and all connections, and stays away.
+  Restart, ///< Closes all connections and starts again under its id.
+  Silence, ///< Keeps its connections and answers nothing more.
+  Hangup,  ///< Closes only the connection of the request, and lives on.
+};
+
+/// Arrivals of the request of death at all servers, and the servers' ends.
+struct DeadlyRequests {
+  std::vector<base::Instant> Arrivals;
+  std::vector<base::Instant> Ends;
+
+  std::size_t arrivalsAfterLastAllowedEnd() const {
+    if (Ends.size() < MaxEndedServers)
+      return 0;
+    const base::Instant end = Ends[MaxEndedServers - 1];
+    return static_cast<std::size_t>(
+        std::count_if(Arrivals.begin(), Arrivals.end(),
+                      [&](base::Instant at) { return at > end; }));
+  }
+};
+
+/// A server of a plain service that can end like a process.
+class MortalServer : public std::enable_shared_from_this<MortalServer> {
+public:
+  MortalServer(asio::io_context &io, const base::Clock &clock, std::string id,
+               DeadlyRequests &deadly)
+      : Io(io), Clock(clock), Id(std::move(id)), Deadly(deadly),
+        Address(freeEndpoint()), Acceptor(io) {}
+
+  void start() {
+    StartedAt += milliseconds(1'000);
+    ++Life;
+    IsSilent = false;
+    Acceptor = tcp::acceptor(
+        Io, {asio::ip::make_address(Address.Address), Address.Port});
+    asio::co_spawn(Io, accept(shared_from_this()), asio::detached);
+  }
+
+  /// Ends the process: its port and all its connections are closed.
+  void end() {
+    ++Life;
+    error_code ec;
+    Acceptor.close(ec);
+    for (const auto &socket : Sockets)
+      socket->close(ec);
+    Sockets.clear();
+  }
+
+  ListedServer listed() const {
+    ListedServer s;
+    s.Id = Id;
+    s.StartedAt = StartedAt;
+    s.Service = "shop";
+    s.Address = Address;
+    s.Zone = "a";
+    return s;
+  }
+
+  asio::io_context &Io;
+  const base::Clock &Clock;
+  std::string Id;
+  DeadlyRequests &Deadly;
+  base::Endpoint Address;
+  EndMode Mode = EndMode::Crash;
+  /// Probability that a request's connection is closed without a response.
+  double HangupProbability = 0;
+  /// Called when the server has started again under its id.
+  std::function<void()> OnRestart;
+  int Served = 0;
+
+private:
+  using SocketPointer = std::shared_ptr<tcp::socket>;
+  static constexpr milliseconds ServiceTime{10};
+  static constexpr milliseconds RestartTime{100};
+
+  static asio::awaitable<void> accept(std::shared_ptr<MortalServer> self) {
+    const int life = self->Life;
+    for (;;) {
+      error_code ec;
+      auto socket = std::make_shared<tcp::socket>(self->Io);
+      co_await self->Acceptor.async_accept(
+          *socket, asio::redirect_error(asio::use_awaitable, ec));
+      if (ec || life != self->Life)
+        co_return;
+      self->Sockets.insert(socket);
+      asio::co_spawn(self->Io, serve(self, socket), asio::detached);
+    }
+  }
+
+  static asio::awaitable<void> serve(std::shared_ptr<MortalServer> self,
+                                     SocketPointer socket) {
+    const int life = self->Life;
+    std::string request;
+    error_code ec;
+    co_await asio::async_read_until(
+        *socket, asio::dynamic_buffer(request), "\r\n\r\n",
+        asio::redirect_error(asio::use_awaitable, ec));
+    if (ec || self->IsSilent)
+      co_return;
+    const bool isDeadly =
+        request.find(std::string(" ") + std::string(DeadlyPath)) !=
+        std::string::npos;
+    if (isDeadly)
+      self->Deadly.Arrivals.push_back(self->Clock.now().Steady);
+    co_await sleepFor(isDeadly ? TimeToEnd : ServiceTime);
+    if (life != self->Life || self->IsSilent)
+      co_return;
+    if (isDeadly) {
+      self->die(socket);
+      co_return;
+    }
+    if (self->Random.chance(self->HangupProbability)) {
+      self->hangUp(socket);
+      co_return;
+    }
+    ++self->Served;
+    const std::string response = self->makeResponse(request);
+    co_await asio::async_write(*socket, asio::buffer(response),
+                               asio::redirect_error(asio::use_awaitable, ec));
+    self->hangUp(socket);
+  }
+
+  void hangUp(const SocketPointer &socket) {
+    error_code ec;
+    socket->close(ec);
+    Sockets.erase(socket);
+  }
+
+  void die(const SocketPointer &socket) {
+    if (Mode == EndMode::Hangup) {
+      hangUp(socket);
+      return;
+    }
+    Deadly.Ends.push_back(Clock.now().Steady);
+    if (Mode == EndMode::Silence) {
+      IsSilent = true;
+      return;
+    }
+    end();
+    if (Mode == EndMode::Restart)
+      asio::co_spawn(Io, restart(shared_from_this()), asio::detached);
+  }
+
+  static asio::awaitable<void> restart(std::shared_ptr<MortalServer> self) {
+    co_await sleepFor(RestartTime);
+    self->start();
+    if (self->OnRestart)
+      self->OnRestart();
+  }
+
+  std::string makeResponse(const std::string &request) const {
+    constexpr std::string_view Name = "X-Attempt-Id: ";
+    const auto from = request.find(Name) + Name.size();
+    const std::string attempt =
+        request.substr(from, request.find("\r\n", from) - from);
+    return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt +
+           "\r\nX-Served-Stamp: " + Id + "\r\nContent-Length: 4\r\n\r\nwell";
+  }
+
+  tcp::acceptor Acceptor;
+  std::set<SocketPointer> Sockets;
+  milliseconds StartedAt{1'000'000};
+  /// Incremented by each start and end; coroutines of earlier lives then stop.
+  int Life = 0;
+  bool IsSilent = false;
+  base::Random Random{7};
+};
+
+/// What the callers of ordinary requests got.
+struct OrdinaryResults {
+  int Served = 0;
+  int Failed = 0;
+};
+
+class QueryOfDeathTest : public testing::Test {
+protected:
+  StoreReader storeReader() {
+    StoreReader s;
+    s.ReadConfig = [](const http::ProgressHandler &)
+        -> StoreReader::AsyncResult<ConfigText> {
+      ConfigText text{1, "config"};
+      co_return text;
+    };
+    s.WatchConfig = [](std::uint64_t, milliseconds,
+                       const http::ProgressHandler &)
+        -> StoreReader::AsyncResult<ConfigText> {
+      co_await sleepFor(TestLimit);
+      co_return ConfigText{};
+    };
+    s.ReadServers = [this]() -> StoreReader::AsyncResult<ServerChanges> {
+      co_return listChanges();
+    };
+    s.WatchServers =
+        [this](std::uint64_t since,
+               milliseconds wait) -> StoreReader::AsyncResult<ServerChanges> {
+      const base::Instant until = now() + wait;
+      while (ListRevision <= since && now() < until)
+        co_await sleepFor(PollInterval);
+      co_return ListRevision > since ? listChanges()
+                                     : ServerChanges{ListRevision, {}};
+    };
+    s.DecodeConfig = [](std::string_view) -> base::Result<Config> {
+      return makeConfig();
+    };
+    return s;
+  }
+
+  static Config makeConfig() {
+    Config config;
+    config.Version = 1;
+    Route route;
+    route.Name = "route";
+    route.Host = "a.example";
+    route.PathPrefix = "/";
+    route.Kind = RequestKind::Idempotent;
+    route.Timeout = seconds(1);
+    route.IsPublic = true;
+    route.MaxAttempts = 3;
+    route.Services = {{"shop", 1}};
+    config.Routes.push_back(route);
+    Service service;
+    service.Name = "shop";
+    config.Services.push_back(service);
+    return config;
+  }
+
+  ServerChanges listChanges() const {
+    ServerChanges all;
+    all.Revision = ListRevision;
+    for (const auto &server : Servers)
+      all.Changes.push_back(
+          {server->Id, server->listed(), {}, ListRevision});
+    return all;
+  }
+
+  /// The servers renew their entries, also those that have not changed.
+  asio::awaitable<void> renewEntries() {
+    for (;;) {
+      co_await sleepFor(RenewalInterval);
+      ++ListRevision;
+    }
+  }
+
+  void startServers(int count, EndMode mode = EndMode::Crash) {
+    for (int i = 0; i < count; ++i) {
+      auto server = std::make_shared<MortalServer>(
+          Io, Clock, "s" + std::to_string(i), Deadly);
+      server->Mode = mode;
+      server->start();
+      Servers.push_back(std::move(server));
+    }
+    asio::co_spawn(Io, renewEntries(), asio::detached);
+  }
+
+  void startGateway(bool hasSeed = true) {
+    GatewaySettings settings;
+    settings.Name = "gateway-" + std::to_string(Gateways.size());
+    settings.Zone = "a";
+    settings.Listen = freeEndpoint();
+    settings.ReadyListen = freeEndpoint();
+    settings.ControlListen = freeEndpoint();
+    if (hasSeed && !Gateways.empty())
+      settings.Seeds = {Gateways[0]->context().Settings.ControlListen};
+    settings.Retries = {1, 1'000, seconds(10)};
+    settings.RenewalInterval = RenewalInterval;
+    auto shell = Shell::start(Io, Clock, settings,
+                              platform::makeProtocolCodec(), storeReader());
+    ASSERT_TRUE(ok(shell)) << describe(error(shell));
+    Gateways.push_back(std::move(value(shell)));
+  }
+
+  void startGateways(int count, bool hearEachOther = true) {
+    for (int i = 0; i < count; ++i)
+      startGateway(hearEachOther);
+  }
+
+  asio::awaitable<void> waitUntilReady() {
+    for (const auto &gateway : Gateways)
+      while (!gateway->context().isReady())
+        co_await sleepFor(PollInterval);
+    // Until the gateways know each other.
+    co_await sleepFor(milliseconds(600));
+  }
+
+  template <typename Body> void runTest(Body body) {
+    bool isDone = false;
+    asio::co_spawn(
+        Io,
+        [&]() -> asio::awaitable<void> {
+          co_await waitUntilReady();
+          co_await body();
+          isDone = true;
+          Io.stop();
+        },
+        [](std::exception_ptr e) {
+          if (e)
+            std::rethrow_exception(e);
+        });
+    Io.run_for(TestLimit);
+    EXPECT_TRUE(isDone) << "the test hangs";
+  }
+
+  /// Returns the status; 0 when no complete response arrived.
+  asio::awaitable<int> call(std::size_t gateway, std::string path) {
+    http::Request request{"GET",
+                          std::move(path),
+                          {{"Host", "a.example"},
+                           {"X-Attempt-Id", std::to_string(++LastAttempt)}},
+                          {}};
+    const base::Endpoint to =
+        Gateways[gateway % Gateways.size()]->context().Settings.Listen;
+    http::FetchResult fetched =
+        co_await http::fetch(to, std::move(request), seconds(3));
+    co_return ok(fetched.Outcome) ? value(fetched.Outcome).Status : 0;
+  }
+
+  /// A caller that repeats the request of death at once, each time at another
+  /// gateway.
+  asio::awaitable<void> repeatDeadly(int tries, std::size_t firstGateway = 0) {
+    ++OpenCallers;
+    for (int i = 0; i < tries; ++i) {
+      const int status = co_await call(
+          firstGateway + static_cast<std::size_t>(i), std::string(DeadlyPath));
+      Statuses.push_back(status);
+    }
+    --OpenCallers;
+  }
+
+  asio::awaitable<void> callOrdinary(std::size_t gateway, std::string path) {
+    const int status = co_await call(gateway, std::move(path));
+    ++(status == 200 ? Ordinary.Served : Ordinary.Failed);
+  }
+
+  /// Sends ordinary requests, 200 a second, until `isEnough`. They are all
+  /// different unless `isHot`.
+  asio::awaitable<void> callOrdinaryUntil(std::function<bool()> isEnough,
+                                          bool isHot = false) {
+    for (std::size_t i = 0; !isEnough(); ++i) {
+      asio::co_spawn(
+          Io, callOrdinary(i, isHot ? "/hot" : "/x" + std::to_string(i)),
+          asio::detached);
+      co_await sleepFor(PollInterval);
+    }
+    co_await sleepFor(milliseconds(1'500));
+  }
+
+  asio::awaitable<void> callOrdinaryWhileCallersTry() {
+    co_await callOrdinaryUntil([this] { return OpenCallers == 0; });
+  }
+
+
+  base::Instant now() const { return Clock.now().Steady; }
+
+  static constexpr milliseconds RenewalInterval{400};
+
+  asio::io_context Io{1};
+  base::SystemClock Clock;
+  DeadlyRequests Deadly;
+  std::vector<std::shared_ptr<MortalServer>> Servers;
+  std::vector<std::unique_ptr<Shell>> Gateways;
+  std::vector<int> Statuses;
+  OrdinaryResults Ordinary;
+  std::uint64_t ListRevision = 1;
+  int OpenCallers = 0;
+  int LastAttempt = 0;
+};
+
+/// Guards against a request that ends server after server through a caller's
+/// further tries at other gateways (issue 26, BUDGET).
+TEST_F(QueryOfDeathTest, ACallersTriesEndThreeServersAtMost) {
+  startServers(20);
+  startGateways(5);
+  runTest([&]() -> asio::awaitable<void> {
+    asio::co_spawn(Io, repeatDeadly(6), asio::detached);
+    co_await callOrdinaryWhileCallersTry();
+    EXPECT_LE(Deadly.Ends.size(), MaxEndedServers);
+    EXPECT_EQ(Deadly.arrivalsAfterLastAllowedEnd(), 0u);
+    EXPECT_EQ(Ordinary.Failed, 0);
+  });
+}
+
+/// Guards against a request of several callers at once that ends more servers
+/// than there are callers (issue 26, BUDGET).
+TEST_F(QueryOfDeathTest, CallersAtOnceEndNoMoreThanTheirFirstServers) {
+  constexpr std::size_t Callers = 4;
+  startServers(20);
+  startGateways(5);
+  runTest([&]() -> asio::awaitable<void> {
+    for (std::size_t i = 0; i < Callers; ++i)
+      asio::co_spawn(Io, repeatDeadly(6, i), asio::detached);
+    co_await callOrdinaryWhileCallersTry();
+    // What arrives before the first end cannot be known.
+    EXPECT_LE(Deadly.Ends.size(), Callers);
+    EXPECT_EQ(Deadly.arrivalsAfterLastAllowedEnd(), 0u);
+  });
+}
+
+/// Guards against a request under which servers fall silent, each until the
+/// request's deadline (issue 26, BUDGET).
+TEST_F(QueryOfDeathTest, ACallersTriesSilenceThreeServersAtMost) {
+  startServers(20, EndMode::Silence);
+  startGateways(5);
+  runTest([&]() -> asio::awaitable<void> {
+    asio::co_spawn(Io, repeatDeadly(6), asio::detached);
+    co_await callOrdinaryWhileCallersTry();
+    EXPECT_LE(Deadly.Ends.size(), MaxEndedServers);
+    EXPECT_EQ(Deadly.arrivalsAfterLastAllowedEnd(), 0u);
+  });
+}
+
+} // namespace
+} // namespace drumlanding::gateway
