gateway: Log what relates the tries of one request, and each retry

The logs could not tell whether one request ends server after server, whether the requests of an ended server are all repeated at once, or whether the budget's shares are wrong: tries of a caller have different attempt ids, the life of the server was missing, and so was what a retry was granted for.

request-unanswered names the request's fingerprint (a hash of organisation, method, host, target, prompt and body, not of the attempt id), the server's life and how the connection ended; retry names the outcome and the number of gateways that share the budget. A connection closed by the server is told apart from a malformed response.

--- a/include/drumlanding/base/result.h
+++ b/include/drumlanding/base/result.h
@@ -20,6 +20,8 @@
   Unavailable,  ///< The peer is unreachable or refuses temporarily.
   TimedOut,     ///< No response in time; it may have taken effect.
   Forbidden,    ///< The credential or signature does not permit it.
+  Closed,       ///< The peer closed the connection.
+  Malformed,    ///< The peer sent something that is no message.
 };
 
 /// An error and its place: a flag, a path in a document or a peer.
--- a/include/drumlanding/gateway/protocol-codec.h
+++ b/include/drumlanding/gateway/protocol-codec.h
@@ -37,6 +37,8 @@
   std::uint32_t PromptTokens = 0;
   std::uint32_t MaxTokens = 0;
   std::uint32_t ExpectedTokens = 0;
+  /// Generations: the model and the prompt, as the client's headers give them.
+  std::string PromptDescription;
 };
 
 /// Where a stream resumes: a copy of the generation's KV cache, and the last
--- a/src/gateway/forwarded-request.cc
+++ b/src/gateway/forwarded-request.cc
@@ -56,6 +56,13 @@
                     LowestPriority);
 }
 
+const RequestFingerprint &ForwardedRequest::fingerprint() {
+  if (!Fingerprint)
+    Fingerprint = makeFingerprint(
+        Request, CallerOrganisation ? CallerOrganisation->Name : "");
+  return *Fingerprint;
+}
+
 void ForwardedRequest::closeConnection() {
   if (Connection)
     Connection->close();
@@ -121,6 +128,33 @@
                               {instance, f.SentAt, response.RequestLimit});
 }
 
+namespace {
+
+std::string_view connectionEnd(const ForwardedRequest &f) {
+  if (f.HasCallerDisconnected)
+    return "caller left";
+  if (f.IsExpired)
+    return "expired";
+  if (f.ReadError == base::ErrorCode::Closed)
+    return "closed by the server";
+  return f.ReadError == base::ErrorCode::Malformed ? "malformed response"
+                                                   : "lost";
+}
+
+} // namespace
+
+void logUnanswered(ForwardedRequest &f, const Server &server) {
+  f.Ctx.Log.write("request-unanswered",
+                  {{"request", f.Request.AttemptId},
+                   {"fingerprint", toString(f.fingerprint())},
+                   {"organisation",
+                    f.CallerOrganisation ? f.CallerOrganisation->Name : ""},
+                   {"server", server.Listed.Id},
+                   {"server_started_ms", server.Listed.StartedAt.count()},
+                   {"end", connectionEnd(f)},
+                   {"ms", base::toMs(f.Ctx.now() - f.SentAt)}});
+}
+
 void sendTo(ForwardedRequest &f, const Server &server,
             const std::optional<ResumePoint> &from) {
   RequestMetadata order;
@@ -133,6 +167,7 @@
   order.ResumeFrom = from;
   ++f.Arrivals;
   f.SentAt = f.Ctx.now();
+  f.ReadError.reset();
   f.Connection->send(f.Ctx.Codec.EncodeServerRequest(f.Request, order));
 }
 
@@ -140,8 +175,10 @@
 readMatchingHead(ForwardedRequest &f, Server server) {
   for (int i = 0; i < MaxForeignResponses; ++i) {
     auto head = co_await f.Connection->readHead();
-    if (!ok(head))
+    if (!ok(head)) {
+      f.ReadError = error(head).Code;
       co_return std::nullopt;
+    }
     ServerResponse answer =
         f.Ctx.Codec.DecodeResponseHead(f.Request, value(head));
     if (answer.MatchesAttempt || answer.HasNotRun) {
@@ -160,8 +197,10 @@
   std::string body;
   for (;;) {
     auto piece = co_await f.Connection->read();
-    if (!ok(piece))
+    if (!ok(piece)) {
+      f.ReadError = error(piece).Code;
       co_return std::nullopt;
+    }
     if (value(piece).empty())
       co_return body;
     body += value(piece);
@@ -196,9 +235,15 @@
   state.HasServer = hasServer;
   return nextStep(state, [&] {
     const base::Instant now = f.Ctx.now();
-    const bool isGranted = f.Ctx.Budget.tryRetry(
-        now, f.ChosenService->Name, f.Ctx.GatewayPeers.gatewayCount(now));
+    const int gateways = f.Ctx.GatewayPeers.gatewayCount(now);
+    const bool isGranted =
+        f.Ctx.Budget.tryRetry(now, f.ChosenService->Name, gateways);
     countRetry(f.Ctx.Metrics, f.ChosenService->Name, isGranted);
+    f.Ctx.Log.write("retry", {{"request", f.Request.AttemptId},
+                              {"service", f.ChosenService->Name},
+                              {"granted", isGranted},
+                              {"arrivals", f.Arrivals},
+                              {"gateways", gateways}});
     return isGranted;
   });
 }
--- a/src/gateway/forwarded-request.h
+++ b/src/gateway/forwarded-request.h
@@ -6,6 +6,7 @@
 
 #include "drumlanding/base/verdict.h"
 #include "drumlanding/gateway/attempt-policy.h"
+#include "drumlanding/gateway/request-fingerprint.h"
 #include "drumlanding/http/connection.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -50,11 +51,16 @@
   bool MayHaveRun = false;
   bool IsExpired = false;
   bool HasCallerDisconnected = false;
+  /// Why the last read from a server failed.
+  std::optional<base::ErrorCode> ReadError;
+  std::optional<RequestFingerprint> Fingerprint;
 
   base::milliseconds timeRemaining() const {
     return base::milliseconds(base::toMs(Deadline - Ctx.now()));
   }
   bool isAborted() const { return IsExpired || HasCallerDisconnected; }
+  /// Computed when it is first needed, which few requests do.
+  const RequestFingerprint &fingerprint();
   /// Returns the priority for engines, from 0 (most urgent) to 9. The
   /// organisation's priority takes precedence over the route's.
   int priority() const;
@@ -98,6 +104,10 @@
 void recordLimit(ForwardedRequest &f, const Server &server,
                  const ServerResponse &response);
 
+/// Logs that a server gave no complete response to the request, with what is
+/// needed to relate it to other tries and to the server's end.
+void logUnanswered(ForwardedRequest &f, const Server &server);
+
 /// Sends the request. From then on it may have run.
 void sendTo(ForwardedRequest &f, const Server &server,
             const std::optional<ResumePoint> &from);
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -141,6 +141,8 @@
     f.closeConnection();
     f.TriedServers.push_back(id);
     recordOutcome(f, id, attempt);
+    if (attempt.End == AttemptOutcome::Incomplete)
+      logUnanswered(f, server);
     Ctx.Log.write("attempt-ended", {{"request", f.Request.AttemptId},
                                     {"server", id},
                                     {"end", static_cast<int>(attempt.End)},
--- a/src/gateway/stream-forwarder.cc
+++ b/src/gateway/stream-forwarder.cc
@@ -153,6 +153,8 @@
     }
     unregisterRun();
     recordOutcome(F, id, attempt);
+    if (attempt.End == AttemptOutcome::Incomplete)
+      logUnanswered(F, server);
     F.closeConnection();
     const bool hasServer = Ctx.Placer
                                .chooseForGeneration(Ctx.now(), *F.ChosenService,
@@ -220,9 +222,13 @@
       logStreamEnd("whole");
       co_return;
     }
+    if (!ok(piece))
+      F.ReadError = error(piece).Code;
     const bool isResumed = co_await resume();
     if (isResumed)
       continue;
+    if (const Server *server = Ctx.Servers.find(Run->Server))
+      logUnanswered(F, *server);
     logStreamEnd("broken off");
     if (IsHeadSent || F.HasCallerDisconnected)
       co_return;
--- a/src/http/connection.cc
+++ b/src/http/connection.cc
@@ -25,10 +25,23 @@
 /// Maximum size of the headers of a response.
 constexpr std::uint32_t MaxHeadBytes = 32 << 10;
 
+base::ErrorCode toErrorCode(const error_code &ec) {
+  namespace error = boost::asio::error;
+  if (ec == beast::error::timeout)
+    return base::ErrorCode::TimedOut;
+  if (ec == beast::http::error::end_of_stream ||
+      ec == beast::http::error::partial_message || ec == error::eof ||
+      ec == error::connection_reset || ec == error::broken_pipe)
+    return base::ErrorCode::Closed;
+  // All other errors of the parser.
+  if (ec.category() ==
+      beast::http::make_error_code(beast::http::error::bad_status).category())
+    return base::ErrorCode::Malformed;
+  return base::ErrorCode::Unavailable;
+}
+
 base::Error toError(const base::Endpoint &to, const error_code &ec) {
-  const bool isTimeout = ec == beast::error::timeout;
-  return {isTimeout ? base::ErrorCode::TimedOut : base::ErrorCode::Unavailable,
-          base::toString(to), ec.message()};
+  return {toErrorCode(ec), base::toString(to), ec.message()};
 }
 
 std::string serialise(const Request &request) {
