gateway: An isolated gateway keeps its share of the retry budget for minutes

Five gateways that lose each other for longer each took the whole budget: 190 retries in ten seconds where 96 are allowed (RetryBudget.IsolatedGatewaysKeepToTheirShares, simulated clock, 20 requests a second that all fail). Restarting them all every ten seconds did not exceed it (RestartedGatewaysKeepToTheBudget), so that a restart is ruled out there.

Gateways now count towards the budget for five minutes after they were last heard, unless they announced their stop. Limits that servers name keep 15 s: a server would lose the share of a gateway that has ended for as long.

--- a/include/drumlanding/gateway/peers.h
+++ b/include/drumlanding/gateway/peers.h
@@ -88,9 +88,10 @@
   /// the fraction whose messages have arrived here within the last second.
   double heardFraction(base::Instant now) const;
 
-  /// Returns how many gateways may be sending requests, including this one.
-  /// Counts all recently seen ones, because an isolated gateway keeps sending,
-  /// and assumes many just after the start, when no others have been seen yet.
+  /// Returns how many gateways share the retry budget, including this one.
+  /// Counts all that were heard in the last minutes, because an isolated gateway
+  /// keeps sending, and assumes many just after the start, when no others have
+  /// been seen yet.
   int gatewayCount(base::Instant now) const;
 
 private:
@@ -102,6 +103,13 @@
     base::Instant FailedAt{};
     base::Instant AddedAt{};
   };
+  struct HeardGateway {
+    base::Instant LastSeenAt{};
+    /// It has announced its stop.
+    bool HasStopped = false;
+  };
+  static bool sharesBudget(base::Instant now, const HeardGateway &gateway);
+  void evictSilent(base::Instant now);
   void add(base::Instant now, const base::Endpoint &address);
   std::optional<Peer>
   leastRecentlyFailed(base::Instant now,
@@ -111,6 +119,9 @@
   base::Instant StartedAt;
   /// Contacts by address.
   std::map<std::string, Contact> Contacts;
+  /// All gateways that share the retry budget, by address. Contacts are dropped
+  /// earlier.
+  std::map<std::string, HeardGateway> HeardGateways;
 };
 
 } // namespace drumlanding::gateway
--- a/src/gateway/peers.cc
+++ b/src/gateway/peers.cc
@@ -12,9 +12,14 @@
 /// Time without messages after which a gateway no longer counts as live: six
 /// messages at one every half second.
 constexpr base::milliseconds LiveTimeout{3'000};
-/// Time since its last message for which a gateway still counts towards shared
-/// limits.
+/// Time since its last message for which a gateway still counts towards the
+/// limits that servers name, and, if it has announced its stop, towards the
+/// retry budget.
 constexpr base::seconds SharedLimitTimeout{15};
+/// Time since its last message for which a gateway still counts towards the
+/// retry budget: it may be isolated and go on sending requests for much longer
+/// than it stays a contact.
+constexpr base::seconds SharedBudgetTimeout{300};
 /// Time since its last message after which the requests of a gateway are not
 /// known here: two messages at one every half second.
 constexpr base::milliseconds MaxSilence{1'000};
@@ -67,6 +72,7 @@
   peer.ConfigVersion = gossip.config_version();
   peer.WatchesList = gossip.watches_list();
   peer.ListUpdatedAt = now - base::milliseconds(gossip.list_age_ms());
+  HeardGateways[gossip.address()] = {now, gossip.is_last()};
   for (const std::string &other : gossip.peers()) {
     const auto endpoint = base::parseEndpoint("peer", other);
     if (ok(endpoint))
@@ -76,6 +82,7 @@
 }
 
 std::vector<base::Endpoint> Peers::sendTargets(base::Instant now) {
+  evictSilent(now);
   std::vector<base::Endpoint> targets;
   for (auto it = Contacts.begin(); it != Contacts.end();) {
     Contact &contact = it->second;
@@ -161,16 +168,20 @@
   return lowerHashes < WatcherCount || watching == 0;
 }
 
+bool Peers::sharesBudget(base::Instant now, const HeardGateway &gateway) {
+  return now - gateway.LastSeenAt <
+         (gateway.HasStopped ? SharedLimitTimeout : SharedBudgetTimeout);
+}
+
 double Peers::heardFraction(base::Instant now) const {
   int heard = 1;
   int sending = 1;
-  for (const auto &[address, contact] : Contacts) {
-    const base::Instant seenAt = contact.Gateway.LastSeenAt;
-    if (seenAt == base::Instant{} || !contact.HasAnswered ||
-        now - seenAt >= SharedLimitTimeout)
+  for (const auto &[address, gateway] : HeardGateways) {
+    const base::Duration silence = now - gateway.LastSeenAt;
+    if (gateway.HasStopped || silence >= SharedLimitTimeout)
       continue;
     ++sending;
-    heard += now - seenAt < MaxSilence ? 1 : 0;
+    heard += silence < MaxSilence ? 1 : 0;
   }
   if (now - StartedAt < DiscoveryTime)
     sending = std::max(sending, AssumedGateways);
@@ -178,15 +189,18 @@
 }
 
 int Peers::gatewayCount(base::Instant now) const {
-  const auto n =
-      std::count_if(Contacts.begin(), Contacts.end(), [&](const auto &entry) {
-        const Peer &peer = entry.second.Gateway;
-        return peer.LastSeenAt != base::Instant{} &&
-               now - peer.LastSeenAt < SharedLimitTimeout;
-      });
+  const auto n = std::count_if(
+      HeardGateways.begin(), HeardGateways.end(),
+      [&](const auto &entry) { return sharesBudget(now, entry.second); });
   const int known = static_cast<int>(n) + 1;
   return now - StartedAt < DiscoveryTime ? std::max(known, AssumedGateways)
                                          : known;
 }
 
+void Peers::evictSilent(base::Instant now) {
+  std::erase_if(HeardGateways, [&](const auto &entry) {
+    return !sharesBudget(now, entry.second);
+  });
+}
+
 } // namespace drumlanding::gateway
