gateway: Quarantine requests under which servers end

Callers saw a service lose its servers one after another to one request: nobody related the ends to the request, whose further tries came with new attempt ids to other gateways. Ruled out as its cause: the requests that were on an ended server (each is repeated at most twice and served), and the budget (every retry was granted within it).

Each end of a server while it ran a request is evidence against the request, identified by the server's life, reported to the other gateways at once and merged in any order. With evidence a request runs in one place at a time, by claims that gateways tell each other; after three ends it is refused at once, with the time until a trial. What a server completes is innocent; a server that renews its entry under the same life, or responds again after a silence, has not ended.

--- a/include/drumlanding/base/verdict.h
+++ b/include/drumlanding/base/verdict.h
@@ -51,7 +51,8 @@
   AnswerLost,
   TakenOver,
   RequestLimit,
-  Last = RequestLimit,
+  Quarantined,
+  Last = Quarantined,
 };
 
 /// The final response to a request that gets no complete one.
--- a/include/drumlanding/gateway/directory.h
+++ b/include/drumlanding/gateway/directory.h
@@ -64,6 +64,8 @@
   int IncompleteResponses = 0;
   /// The server is not chosen before this time.
   base::Instant EjectedUntil{};
+  /// When a response of the server last arrived at this gateway.
+  base::Instant LastResponseAt{};
   /// Number of this gateway's requests in progress at the server.
   int OpenRequests = 0;
 };
@@ -174,6 +176,8 @@
 
   void recordOutcome(base::Instant now, std::string_view id,
                      ServerOutcome outcome);
+  /// Records that part of a response of the server has arrived.
+  void recordResponse(base::Instant now, std::string_view id);
   /// Applies another gateway's ejection of a server.
   void applyEjection(base::Instant now, const EjectedServer &ejected);
   /// Returns the servers that this gateway ejects because of incomplete
--- a/include/drumlanding/gateway/peers.h
+++ b/include/drumlanding/gateway/peers.h
@@ -89,9 +89,9 @@
   double heardFraction(base::Instant now) const;
 
   /// Returns how many gateways share the retry budget, including this one.
-  /// Counts all that were heard in the last minutes, because an isolated gateway
-  /// keeps sending, and assumes many just after the start, when no others have
-  /// been seen yet.
+  /// Counts all that were heard in the last minutes, because an isolated
+  /// gateway keeps sending, and assumes many just after the start, when no
+  /// others have been seen yet.
   int gatewayCount(base::Instant now) const;
 
 private:
--- /dev/null
+++ b/include/drumlanding/gateway/quarantine.h
@@ -0,0 +1,213 @@
+/// Quarantine: keeps requests that end the servers which run them (queries of
+/// death) from ending one server after another, over all gateways.
+///
+///   Quarantine q(ownAddress, rank, options);
+///   q.recordEnd(now, {fingerprint, organisation, server, sentAt, kind});
+///   q.state(now, fingerprint);               // Suspect, later Quarantined
+///   q.claim(now, fingerprint);               // before a suspect request is
+///   sent for (const SuspectReport &r : q.takeChangedReports(now))
+///     notifyPeers(r);
+///   q.applyReport(now, peer, report);
+///
+/// Each end of a server while it ran a request is evidence against the request,
+/// identified by the server's life. The evidence of all gateways is merged,
+/// in any order. It is withdrawn when the server turns out to live on, and all
+/// evidence against a request is withdrawn when the request is served. A
+/// request with evidence is suspect: it runs in one place at a time. After
+/// MaxEndedServers ends it is quarantined: no server gets it.
+#pragma once
+
+#include "drumlanding/base/hash.h"
+#include "drumlanding/gateway/directory.h"
+#include "drumlanding/gateway/request-fingerprint.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace drumlanding::gateway {
+
+/// How a server stopped answering a request.
+enum class EndKind {
+  Closed, ///< It closed the connection.
+  Silent, ///< It sent nothing, to this and other requests.
+};
+
+/// A request that a server did not answer, possibly because it ended.
+struct UnansweredRequest {
+  RequestFingerprint Fingerprint;
+  std::string Organisation;
+  ServerInstance Server;
+  /// When the request was sent to the server.
+  base::Instant SentAt{};
+  EndKind Kind = EndKind::Closed;
+};
+
+/// The end of a server under a request, as one gateway reports it to another.
+struct EndReport {
+  ServerInstance Server;
+  /// Distinguishes the ends of a server whose restart is not known yet.
+  std::uint32_t Occurrence = 0;
+  EndKind Kind = EndKind::Closed;
+  /// Time since the end was observed.
+  base::Duration Age{0};
+  /// The server has been seen alive since.
+  bool IsWithdrawn = false;
+};
+
+/// All that is known against a request.
+struct SuspectReport {
+  RequestFingerprint Fingerprint;
+  std::string Organisation;
+  std::vector<EndReport> Ends;
+  /// Time since it was served, or released by an operator.
+  std::optional<base::Duration> ClearedAge;
+};
+
+/// An exclusive claim of a gateway to run a suspect request. Of two claims made
+/// at the same time, the one with the lower rank holds.
+struct RunClaim {
+  RequestFingerprint Fingerprint;
+  std::uint64_t Rank = 0;
+};
+
+struct QuarantineOptions {
+  /// Interval at which servers renew their entries in the store.
+  base::milliseconds RenewalInterval = Directory::DefaultRenewalInterval;
+};
+
+class Quarantine {
+public:
+  /// The servers that may end under one request.
+  static constexpr std::size_t MaxEndedServers = 3;
+  /// Time after which an end no longer counts.
+  static constexpr base::seconds EvidenceRetention{600};
+  /// Bounds memory. Requests with the fewest ends are evicted first.
+  static constexpr std::size_t MaxSuspects = 1'024;
+  /// Bounds the size of a message between gateways.
+  static constexpr std::size_t MaxReports = 32;
+  /// Time from a claim until it holds: messages of gateways that claimed the
+  /// same request meanwhile have arrived.
+  static constexpr base::milliseconds ClaimSettleTime{25};
+
+  enum class State { Clear, Suspect, Quarantined };
+  enum class ClaimState {
+    None,     ///< This gateway has no claim.
+    Settling, ///< Another gateway may have claimed it at the same time.
+    Held,
+  };
+
+  Quarantine(base::Random random, QuarantineOptions options)
+      : Random(random), Options(options) {}
+
+  /// Called when a request becomes suspect or quarantined or is cleared, with
+  /// the event's name and its source: "requests", "operator", "server",
+  /// "expiry" or the address of another gateway.
+  std::function<void(std::string_view event, const SuspectReport &,
+                     std::string_view source)>
+      OnChange;
+
+  /// Called when the other gateways have to be notified.
+  std::function<void()> OnUpdate;
+
+  void recordEnd(base::Instant now, const UnansweredRequest &unanswered);
+  /// Records that a server completed the request: it does not end servers.
+  void recordServed(base::Instant now, const RequestFingerprint &fingerprint);
+  /// Records a response of a server to any request.
+  void recordResponse(base::Instant now, const ServerInstance &server);
+  /// Records that a server renewed its entry in the store.
+  void recordRenewal(base::Instant now, const ServerInstance &server);
+  /// Releases a request from quarantine. Returns false if it is unknown.
+  bool release(base::Instant now, const RequestFingerprint &fingerprint);
+
+  State state(base::Instant now, const RequestFingerprint &fingerprint) const;
+  /// Returns the time until a quarantined request may be tried again.
+  base::Duration timeUntilTrial(base::Instant now,
+                                const RequestFingerprint &fingerprint) const;
+
+  /// Claims a suspect request for one run. Returns false if another request of
+  /// this gateway, or another gateway, has a claim.
+  bool claim(base::Instant now, const RequestFingerprint &fingerprint);
+  /// Returns the state of this gateway's claim, which is withdrawn if another
+  /// gateway has a better one.
+  ClaimState claimState(base::Instant now,
+                        const RequestFingerprint &fingerprint);
+  void endClaim(const RequestFingerprint &fingerprint);
+
+  /// Returns the reports on the requests with the most, and then the latest,
+  /// evidence; at most MaxReports.
+  std::vector<SuspectReport> reports(base::Instant now) const;
+  /// Returns the reports that have changed since the last call; at most
+  /// MaxReports, the others with the next call.
+  std::vector<SuspectReport> takeChangedReports(base::Instant now);
+  std::vector<RunClaim> ownClaims() const;
+  void applyReport(base::Instant now, std::string_view from,
+                   const SuspectReport &report);
+  /// Replaces all claims of another gateway.
+  void applyClaims(base::Instant now, const std::string &from,
+                   const std::vector<RunClaim> &claims);
+
+  /// Forgets old evidence and the claims of silent gateways.
+  void evict(base::Instant now);
+
+  bool isEmpty() const { return Suspects.empty(); }
+  std::size_t count(base::Instant now, State state) const;
+
+private:
+  struct End {
+    ServerInstance Server;
+    std::uint32_t Occurrence = 0;
+    EndKind Kind = EndKind::Closed;
+    base::Instant ObservedAt{};
+    bool IsWithdrawn = false;
+  };
+  struct Suspect {
+    std::string Organisation;
+    std::vector<End> Ends;
+    std::optional<base::Instant> ClearedAt;
+    /// The state that was last logged.
+    State KnownState = State::Clear;
+    bool IsChanged = false;
+  };
+  struct OwnClaim {
+    std::uint64_t Rank = 0;
+    base::Instant ClaimedAt{};
+  };
+  struct PeerClaims {
+    base::Instant HeardAt{};
+    std::map<RequestFingerprint, std::uint64_t> Ranks;
+  };
+  using SuspectMap = std::map<RequestFingerprint, Suspect>;
+
+  static bool counts(base::Instant now, const Suspect &suspect, const End &end);
+  static std::size_t endCount(base::Instant now, const Suspect &suspect);
+  static State stateOf(base::Instant now, const Suspect &suspect);
+  static SuspectReport report(base::Instant now,
+                              const RequestFingerprint &fingerprint,
+                              const Suspect &suspect);
+  /// Marks a request as changed by what this gateway has observed.
+  void markChanged(base::Instant now, SuspectMap::value_type &entry,
+                   std::string_view source);
+  void reportState(base::Instant now, SuspectMap::value_type &entry,
+                   std::string_view source);
+  void notifyPeers() const;
+  template <typename Matches>
+  void withdraw(base::Instant now, const ServerInstance &server,
+                Matches matches);
+  /// Returns the lowest rank of the other gateways' claims.
+  std::optional<std::uint64_t>
+  bestPeerRank(base::Instant now, const RequestFingerprint &fingerprint) const;
+  void evictExcess(base::Instant now);
+
+  base::Random Random;
+  QuarantineOptions Options;
+  SuspectMap Suspects;
+  std::map<RequestFingerprint, OwnClaim> Claims;
+  std::map<std::string, PeerClaims> ClaimsByPeer;
+};
+
+} // namespace drumlanding::gateway
--- a/src/base/verdict.cc
+++ b/src/base/verdict.cc
@@ -62,6 +62,8 @@
     {Reason::AnswerLost, "answer-lost", 502, "The answer was lost."},
     {Reason::RequestLimit, "request-limit", 503,
      "Every backend server has reached the request rate that it allows."},
+    {Reason::Quarantined, "quarantined", 503,
+     "Backend servers ended while they ran this request."},
 };
 
 const ReasonRow &findRow(Reason r) {
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -348,6 +348,12 @@
   reportChange("server-avoided", Evidence::Gateway, it->second);
 }
 
+void Directory::recordResponse(base::Instant now, std::string_view id) {
+  const auto it = Servers.find(id);
+  if (it != Servers.end())
+    it->second.LastResponseAt = now;
+}
+
 std::vector<EjectedServer> Directory::ejected(base::Instant now) const {
   std::vector<EjectedServer> ejected;
   for (const auto &[id, server] : Servers)
--- a/src/gateway/forwarded-request.cc
+++ b/src/gateway/forwarded-request.cc
@@ -1,6 +1,7 @@
 #include "forwarded-request.h"
 
 #include "gateway-metrics.h"
+#include "suspect-requests.h"
 
 #include <algorithm>
 #include <spdlog/fmt/fmt.h>
@@ -144,15 +145,15 @@
 } // namespace
 
 void logUnanswered(ForwardedRequest &f, const Server &server) {
-  f.Ctx.Log.write("request-unanswered",
-                  {{"request", f.Request.AttemptId},
-                   {"fingerprint", toString(f.fingerprint())},
-                   {"organisation",
-                    f.CallerOrganisation ? f.CallerOrganisation->Name : ""},
-                   {"server", server.Listed.Id},
-                   {"server_started_ms", server.Listed.StartedAt.count()},
-                   {"end", connectionEnd(f)},
-                   {"ms", base::toMs(f.Ctx.now() - f.SentAt)}});
+  f.Ctx.Log.write(
+      "request-unanswered",
+      {{"request", f.Request.AttemptId},
+       {"fingerprint", toString(f.fingerprint())},
+       {"organisation", f.CallerOrganisation ? f.CallerOrganisation->Name : ""},
+       {"server", server.Listed.Id},
+       {"server_started_ms", server.Listed.StartedAt.count()},
+       {"end", connectionEnd(f)},
+       {"ms", base::toMs(f.Ctx.now() - f.SentAt)}});
 }
 
 void sendTo(ForwardedRequest &f, const Server &server,
@@ -181,6 +182,7 @@
     }
     ServerResponse answer =
         f.Ctx.Codec.DecodeResponseHead(f.Request, value(head));
+    recordSignOfLife(f.Ctx, {server.Listed.Id, server.Listed.StartedAt});
     if (answer.MatchesAttempt || answer.HasNotRun) {
       recordLimit(f, server, answer);
       co_return answer;
@@ -220,6 +222,12 @@
                                                  : AttemptOutcome::Served;
 }
 
+bool isQuarantined(ForwardedRequest &f) {
+  return !f.Ctx.Suspects.isEmpty() &&
+         f.Ctx.Suspects.state(f.Ctx.now(), f.fingerprint()) ==
+             Quarantine::State::Quarantined;
+}
+
 Step decideNextStep(ForwardedRequest &f, const Attempt &attempt,
                     bool hasServer) {
   if (attempt.End == AttemptOutcome::WrongServer)
@@ -232,7 +240,7 @@
   state.MaxSends = f.MatchedRoute->MaxAttempts;
   state.MayHaveRun = f.MayHaveRun;
   state.HasTime = f.timeRemaining() > MinAttemptTime && !f.isAborted();
-  state.HasServer = hasServer;
+  state.HasServer = hasServer && !isQuarantined(f);
   return nextStep(state, [&] {
     const base::Instant now = f.Ctx.now();
     const int gateways = f.Ctx.GatewayPeers.gatewayCount(now);
@@ -284,14 +292,30 @@
   return makeRefusalWithWait(f, verdict, reason, retryAfter(reason));
 }
 
+Reason lossReason(ForwardedRequest &f, Reason loss) {
+  if (f.IsExpired)
+    return Reason::Expired;
+  return isQuarantined(f) ? Reason::Quarantined : loss;
+}
+
 http::Response makeNoServerRefusal(const ForwardedRequest &f,
                                    std::optional<base::Duration> wait) {
+  if (f.MayHaveRun)
+    return makeRefusal(f, Verdict::MayHaveRun, Reason::NoBackendServer);
   if (!wait)
     return makeRefusal(f, Verdict::NotRun, Reason::NoBackendServer);
   return makeRefusalWithWait(f, Verdict::NotRun, Reason::RequestLimit,
                              std::max<base::Duration>(*wait, MinRetryAfter));
 }
 
+http::Response makeSuspectRefusal(const ForwardedRequest &f,
+                                  base::Duration untilTrial) {
+  const Verdict verdict = f.MayHaveRun ? Verdict::MayHaveRun : Verdict::NotRun;
+  return makeRefusalWithWait(
+      f, verdict, Reason::Quarantined,
+      std::max<base::Duration>(untilTrial, DefaultRetryAfter));
+}
+
 http::Response toResponse(CompleteResponse answer) {
   http::Response response;
   response.Status = answer.Head.Status;
--- a/src/gateway/forwarded-request.h
+++ b/src/gateway/forwarded-request.h
@@ -54,6 +54,8 @@
   /// Why the last read from a server failed.
   std::optional<base::ErrorCode> ReadError;
   std::optional<RequestFingerprint> Fingerprint;
+  /// This request holds its gateway's claim to run a suspect request.
+  bool HasRunClaim = false;
 
   base::milliseconds timeRemaining() const {
     return base::milliseconds(base::toMs(Deadline - Ctx.now()));
@@ -124,6 +126,9 @@
 /// Classifies a complete response as the end of an attempt.
 AttemptOutcome classifyResponse(const ServerResponse &answer);
 
+/// Returns whether too many servers have ended under the request.
+bool isQuarantined(ForwardedRequest &f);
+
 /// Applies the attempt policy after an attempt has ended. Takes a retry from
 /// the budget if the policy needs one. A send that another server answered is
 /// not counted.
@@ -135,11 +140,21 @@
 http::Response makeRefusal(const ForwardedRequest &f, base::Verdict verdict,
                            base::Reason reason);
 
+/// Returns why a request that was sent has no response: it has expired, is
+/// quarantined, or its server was lost, which is `loss`.
+base::Reason lossReason(ForwardedRequest &f, base::Reason loss);
+
 /// Builds the response to a request for which no server was chosen. `wait` is
 /// the time until a server that has reached its limit takes another request.
 http::Response makeNoServerRefusal(const ForwardedRequest &f,
                                    std::optional<base::Duration> wait);
 
+/// Builds the response to a suspect request that is not sent to a server.
+/// `untilTrial` is the time until a quarantined request may be tried again;
+/// zero if it is not quarantined.
+http::Response makeSuspectRefusal(const ForwardedRequest &f,
+                                  base::Duration untilTrial);
+
 /// Converts a server's response to the response to the caller.
 http::Response toResponse(CompleteResponse answer);
 
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -2,6 +2,7 @@
 
 #include "gateway-metrics.h"
 #include "stream-forwarder.h"
+#include "suspect-requests.h"
 
 namespace drumlanding::gateway {
 namespace {
@@ -55,6 +56,7 @@
     co_await forwardStream(*f, x, Migrations);
   else
     co_await forwardCall(*f, x);
+  endTurn(*f);
   f->DeadlineTimer.cancel();
   f->closeConnection();
   --Ctx.OpenRequests;
@@ -122,16 +124,37 @@
   co_return attempt;
 }
 
+/// Returns the server to send the request to next. When there is none, or the
+/// request may not be sent, answers it and returns nullopt.
+asio::awaitable<std::optional<Server>>
+Forwarder::nextServer(ForwardedRequest &f, http::Exchange &x) {
+  const Turn turn = co_await waitForTurn(f);
+  if (f.HasCallerDisconnected) {
+    logRequestEnd(f, 0, "caller left");
+    co_return std::nullopt;
+  }
+  if (turn != Turn::Granted) {
+    http::Response response = refuseSuspect(f, turn);
+    logRequestEnd(f, response.Status, "suspect");
+    co_await x.send(std::move(response));
+    co_return std::nullopt;
+  }
+  const Server *next = chooseServer(f);
+  const auto wait = logReachedLimits(f, next);
+  if (next)
+    co_return *next;
+  http::Response response = makeNoServerRefusal(f, wait);
+  logRequestEnd(f, response.Status, wait ? "request limits" : "no server");
+  co_await x.send(std::move(response));
+  co_return std::nullopt;
+}
+
 asio::awaitable<void> Forwarder::forwardCall(ForwardedRequest &f,
                                              http::Exchange &x) {
-  const Server *next = chooseServer(f);
   for (;;) {
-    const auto wait = logReachedLimits(f, next);
-    if (!next) {
-      logRequestEnd(f, 503, wait ? "request limits" : "no server");
-      co_await x.send(makeNoServerRefusal(f, wait));
+    const std::optional<Server> next = co_await nextServer(f, x);
+    if (!next)
       co_return;
-    }
     const Server server = *next;
     const std::string id = server.Listed.Id;
     countTowardsLimit(Ctx, id);
@@ -142,13 +165,15 @@
     f.TriedServers.push_back(id);
     recordOutcome(f, id, attempt);
     if (attempt.End == AttemptOutcome::Incomplete)
-      logUnanswered(f, server);
+      recordUnanswered(f, server);
+    else if (attempt.Response && attempt.End != AttemptOutcome::NotRun)
+      recordCompleted(f);
     Ctx.Log.write("attempt-ended", {{"request", f.Request.AttemptId},
                                     {"server", id},
                                     {"end", static_cast<int>(attempt.End)},
                                     {"why", attempt.Cause}});
-    next = chooseServer(f);
-    const Step step = decideNextStep(f, attempt, next != nullptr);
+    const bool hasServer = chooseServer(f) != nullptr;
+    const Step step = decideNextStep(f, attempt, hasServer);
     if (attempt.End == AttemptOutcome::Incomplete ||
         attempt.End == AttemptOutcome::Failed)
       f.MayHaveRun = true;
@@ -165,8 +190,7 @@
       response = makeRefusal(f, Verdict::NotRun, Reason::Overloaded);
     else
       response = makeRefusal(f, Verdict::MayHaveRun,
-                             f.IsExpired ? Reason::Expired
-                                         : Reason::BackendServerLost);
+                             lossReason(f, Reason::BackendServerLost));
     logRequestEnd(f, response.Status, attempt.Cause);
     co_await x.send(std::move(response));
     co_return;
--- a/src/gateway/gateway-context.h
+++ b/src/gateway/gateway-context.h
@@ -10,6 +10,7 @@
 #include "drumlanding/gateway/peers.h"
 #include "drumlanding/gateway/placement.h"
 #include "drumlanding/gateway/protocol-codec.h"
+#include "drumlanding/gateway/quarantine.h"
 #include "drumlanding/gateway/request-limits.h"
 #include "drumlanding/gateway/retry-budget.h"
 #include "drumlanding/gateway/routes.h"
@@ -78,6 +79,9 @@
   Directory Servers;
   RunTable Runs;
   RequestLimits Limits{base::Random(base::secureRandom64()).unit()};
+  /// Requests under which servers have ended.
+  Quarantine Suspects{base::Random(base::secureRandom64()),
+                      {Settings.RenewalInterval}};
   Placement Placer;
   RetryBudget Budget;
   base::Random Random;
--- a/src/gateway/gateway-metrics.cc
+++ b/src/gateway/gateway-metrics.cc
@@ -57,6 +57,12 @@
       {{"service", std::string(service)}, {"placed", boolLabel(isPlaced)}});
 }
 
+void countSuspectRefusal(base::Metrics &metrics, std::string_view service,
+                         std::string_view why) {
+  metrics.count("drumlanding_gateway_suspects_refused_total",
+                {{"service", std::string(service)}, {"why", std::string(why)}});
+}
+
 void countStoreCall(base::Metrics &metrics, std::string_view resource,
                     bool isAnswered) {
   metrics.count(
@@ -87,6 +93,13 @@
   set("ready", ready);
   set("leaving", leaving);
   set("avoided", ejected);
+  const auto setSuspects = [&](const char *state, Quarantine::State s) {
+    metrics.set("drumlanding_gateway_suspect_requests",
+                static_cast<double>(ctx.Suspects.count(now, s)),
+                {{"state", state}});
+  };
+  setSuspects("suspect", Quarantine::State::Suspect);
+  setSuspects("quarantined", Quarantine::State::Quarantined);
   metrics.set("drumlanding_gateway_open_requests", ctx.OpenRequests);
   metrics.set("drumlanding_gateway_peers",
               static_cast<double>(ctx.GatewayPeers.live(now).size()));
--- a/src/gateway/gateway-metrics.h
+++ b/src/gateway/gateway-metrics.h
@@ -41,6 +41,10 @@
 void countReachedLimit(base::Metrics &metrics, std::string_view service,
                        bool isPlaced);
 
+/// Counts a request that was refused because it is suspect.
+void countSuspectRefusal(base::Metrics &metrics, std::string_view service,
+                         std::string_view why);
+
 /// Counts a call to the store for a resource, "config" or "servers".
 void countStoreCall(base::Metrics &metrics, std::string_view resource,
                     bool isAnswered);
--- a/src/gateway/gossip-messages.cc
+++ b/src/gateway/gossip-messages.cc
@@ -65,6 +65,43 @@
   return out;
 }
 
+wire::SuspectRequest toWire(const SuspectReport &report) {
+  const auto toMs = [](base::Duration d) {
+    return static_cast<std::uint64_t>(base::toMs(d));
+  };
+  wire::SuspectRequest out;
+  out.set_fingerprint(toBytes(report.Fingerprint));
+  out.set_organisation(report.Organisation);
+  out.set_is_cleared(report.ClearedAge.has_value());
+  out.set_cleared_age_ms(toMs(report.ClearedAge.value_or(base::Duration(0))));
+  for (const EndReport &end : report.Ends) {
+    wire::ServerEnd &e = *out.add_ends();
+    e.set_id(end.Server.Id);
+    e.set_born_ms(static_cast<std::uint64_t>(end.Server.StartedAt.count()));
+    e.set_occurrence(end.Occurrence);
+    e.set_is_silent(end.Kind == EndKind::Silent);
+    e.set_age_ms(toMs(end.Age));
+    e.set_is_withdrawn(end.IsWithdrawn);
+  }
+  return out;
+}
+
+std::optional<SuspectReport> fromWire(const wire::SuspectRequest &suspect) {
+  const auto fingerprint = fingerprintFromBytes(suspect.fingerprint());
+  if (!fingerprint)
+    return std::nullopt;
+  SuspectReport out{*fingerprint, suspect.organisation(), {}, {}};
+  if (suspect.is_cleared())
+    out.ClearedAge = milliseconds(suspect.cleared_age_ms());
+  for (const wire::ServerEnd &end : suspect.ends())
+    out.Ends.push_back({{end.id(), milliseconds(end.born_ms())},
+                        end.occurrence(),
+                        end.is_silent() ? EndKind::Silent : EndKind::Closed,
+                        milliseconds(end.age_ms()),
+                        end.is_withdrawn()});
+  return out;
+}
+
 wire::GoneServer toWire(const RemovedServer &removed) {
   wire::GoneServer out;
   out.set_id(removed.Id);
--- a/src/gateway/gossip-messages.h
+++ b/src/gateway/gossip-messages.h
@@ -4,6 +4,7 @@
 
 #include "drumlanding/gateway/config.h"
 #include "drumlanding/gateway/directory.h"
+#include "drumlanding/gateway/quarantine.h"
 #include "drumlanding/gateway/request-limits.h"
 #include "drumlanding/gateway/run-table.h"
 #include "gateway.pb.h"
@@ -21,6 +22,9 @@
 fromWire(const google::protobuf::RepeatedPtrField<wire::Server> &servers);
 
 wire::RequestLimit toWire(const LimitReport &report);
+wire::SuspectRequest toWire(const SuspectReport &report);
+/// Returns none if the fingerprint is malformed.
+std::optional<SuspectReport> fromWire(const wire::SuspectRequest &suspect);
 LimitReport fromWire(const wire::RequestLimit &limit);
 wire::GoneServer toWire(const RemovedServer &removed);
 RemovedServer fromWire(const wire::GoneServer &removed);
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -2,6 +2,7 @@
 
 #include "gateway-metrics.h"
 #include "gossip-messages.h"
+#include "suspect-requests.h"
 
 #include "drumlanding/daemon/sleep.h"
 
@@ -35,6 +36,8 @@
 constexpr std::size_t MaxListChanges = 200;
 constexpr std::string_view ConfigPath = "/config";
 constexpr std::string_view ServersPath = "/servers";
+/// Lists the suspect requests; DELETE of one of them releases it.
+constexpr std::string_view SuspectsPath = "/suspects";
 constexpr int HttpOk = 200;
 
 /// Returns why a fetch failed, or an empty text if it succeeded.
@@ -117,6 +120,8 @@
       message.add_ended_runs(id);
     for (const LimitReport &report : Ctx.Limits.takeChangedReports(now))
       *message.add_limits() = toWire(report);
+    for (const SuspectReport &report : Ctx.Suspects.takeChangedReports(now))
+      *message.add_suspects() = toWire(report);
   }
   addListDelta(message);
   broadcast(message);
@@ -151,6 +156,11 @@
     out.set_left_ms(static_cast<std::uint64_t>(ejected.Remaining.count()));
     out.set_born_ms(static_cast<std::uint64_t>(ejected.StartedAt.count()));
   }
+  for (const RunClaim &claim : Ctx.Suspects.ownClaims()) {
+    wire::RunClaim &out = *message.add_claims();
+    out.set_fingerprint(toBytes(claim.Fingerprint));
+    out.set_rank(claim.Rank);
+  }
   return message;
 }
 
@@ -176,6 +186,8 @@
     *message.add_runs() = toWire(run);
   for (const LimitReport &report : Ctx.Limits.reports(Ctx.now()))
     *message.add_limits() = toWire(report);
+  for (const SuspectReport &report : Ctx.Suspects.reports(Ctx.now()))
+    *message.add_suspects() = toWire(report);
   // Traffic between zones is billed, so only some messages carry addresses.
   if (FullStateCount++ % FullStatesPerPeerList != 0)
     return;
@@ -253,6 +265,7 @@
   applyRuns(now, message);
   applyServers(now, message);
   applyLimits(now, message);
+  applySuspects(now, message);
   adoptListAge(now, message);
 }
 
@@ -297,6 +310,17 @@
                              fromWire(limit));
 }
 
+void Gossip::applySuspects(base::Instant now, const wire::Gossip &message) {
+  for (const wire::SuspectRequest &suspect : message.suspects())
+    if (const auto report = fromWire(suspect))
+      Ctx.Suspects.applyReport(now, message.address(), *report);
+  std::vector<RunClaim> claims;
+  for (const wire::RunClaim &claim : message.claims())
+    if (const auto fingerprint = fingerprintFromBytes(claim.fingerprint()))
+      claims.push_back({*fingerprint, claim.rank()});
+  Ctx.Suspects.applyClaims(now, message.address(), claims);
+}
+
 /// If a peer that watches the store has the same list, this gateway's list is
 /// as recent as the peer's.
 void Gossip::adoptListAge(base::Instant now, const wire::Gossip &message) {
@@ -316,6 +340,7 @@
     Ctx.Limits.evict(now, [this](std::string_view id) {
       return Ctx.Servers.find(id) != nullptr;
     });
+    Ctx.Suspects.evict(now);
     Ctx.WatchesList = Ctx.GatewayPeers.shouldWatchList(now);
   }
 }
@@ -390,6 +415,9 @@
     const wire::ServerList list = toWire(known, age);
     response = {
         HttpOk, "application/octet-stream", list.SerializeAsString(), {}};
+  } else if (request.path().starts_with(SuspectsPath)) {
+    response =
+        serveSuspects(Ctx, request, request.path().substr(SuspectsPath.size()));
   }
   co_await x.send(std::move(response));
 }
--- a/src/gateway/gossip.h
+++ b/src/gateway/gossip.h
@@ -42,6 +42,7 @@
   void applyRuns(base::Instant now, const wire::Gossip &message);
   void applyServers(base::Instant now, const wire::Gossip &message);
   void applyLimits(base::Instant now, const wire::Gossip &message);
+  void applySuspects(base::Instant now, const wire::Gossip &message);
   void adoptListAge(base::Instant now, const wire::Gossip &message);
   asio::awaitable<void> tickLoop();
   asio::awaitable<void> fetchLoop();
--- /dev/null
+++ b/src/gateway/quarantine.cc
@@ -0,0 +1,368 @@
+#include "drumlanding/gateway/quarantine.h"
+
+#include <algorithm>
+
+namespace drumlanding::gateway {
+namespace {
+
+/// A response this long after an observed silence proves that the server lives
+/// on. An earlier one may have been sent before the server's end.
+constexpr base::milliseconds SurvivalMargin{300};
+/// Time for which a cleared request is remembered, longer than any report of
+/// its evidence is on its way.
+constexpr base::seconds ClearedRetention{30};
+/// Claims of a gateway that has not been heard for this long are void: three
+/// messages at one every half second.
+constexpr base::milliseconds ClaimTimeout{1'500};
+/// Ends of one server that are counted separately, at most.
+constexpr std::uint32_t MaxOccurrences = Quarantine::MaxEndedServers;
+/// Ends kept for one request. More than this are reported only if gateways do
+/// not hear each other.
+constexpr std::size_t MaxEnds = 16;
+constexpr std::uint64_t BestRank = 0;
+
+/// Returns true unless the start times show that these are different lives.
+bool isSameLife(const ServerInstance &a, const ServerInstance &b) {
+  constexpr base::milliseconds Unknown{0};
+  return a.Id == b.Id && (a.StartedAt == b.StartedAt ||
+                          a.StartedAt == Unknown || b.StartedAt == Unknown);
+}
+
+std::string_view eventFor(Quarantine::State state) {
+  switch (state) {
+  case Quarantine::State::Clear:
+    return "request-cleared";
+  case Quarantine::State::Suspect:
+    return "request-suspected";
+  case Quarantine::State::Quarantined:
+    break;
+  }
+  return "request-quarantined";
+}
+
+} // namespace
+
+bool Quarantine::counts(base::Instant now, const Suspect &suspect,
+                        const End &end) {
+  return !end.IsWithdrawn && now - end.ObservedAt < EvidenceRetention &&
+         (!suspect.ClearedAt || end.ObservedAt > *suspect.ClearedAt);
+}
+
+std::size_t Quarantine::endCount(base::Instant now, const Suspect &suspect) {
+  return static_cast<std::size_t>(
+      std::count_if(suspect.Ends.begin(), suspect.Ends.end(),
+                    [&](const End &end) { return counts(now, suspect, end); }));
+}
+
+Quarantine::State Quarantine::stateOf(base::Instant now,
+                                      const Suspect &suspect) {
+  const std::size_t ends = endCount(now, suspect);
+  if (ends >= MaxEndedServers)
+    return State::Quarantined;
+  return ends > 0 ? State::Suspect : State::Clear;
+}
+
+Quarantine::State
+Quarantine::state(base::Instant now,
+                  const RequestFingerprint &fingerprint) const {
+  const auto it = Suspects.find(fingerprint);
+  return it == Suspects.end() ? State::Clear : stateOf(now, it->second);
+}
+
+base::Duration
+Quarantine::timeUntilTrial(base::Instant now,
+                           const RequestFingerprint &fingerprint) const {
+  const auto it = Suspects.find(fingerprint);
+  if (it == Suspects.end())
+    return base::Duration(0);
+  std::vector<base::Instant> ends;
+  for (const End &end : it->second.Ends)
+    if (counts(now, it->second, end))
+      ends.push_back(end.ObservedAt);
+  if (ends.size() < MaxEndedServers)
+    return base::Duration(0);
+  // A trial is possible when fewer ends than the maximum are left.
+  std::sort(ends.begin(), ends.end());
+  return ends[ends.size() - MaxEndedServers] + EvidenceRetention - now;
+}
+
+void Quarantine::notifyPeers() const {
+  if (OnUpdate)
+    OnUpdate();
+}
+
+void Quarantine::markChanged(base::Instant now, SuspectMap::value_type &entry,
+                             std::string_view source) {
+  entry.second.IsChanged = true;
+  reportState(now, entry, source);
+  notifyPeers();
+}
+
+/// Calls OnChange if the request's state has changed since the last call.
+void Quarantine::reportState(base::Instant now, SuspectMap::value_type &entry,
+                             std::string_view source) {
+  Suspect &suspect = entry.second;
+  const State state = stateOf(now, suspect);
+  if (state == suspect.KnownState)
+    return;
+  suspect.KnownState = state;
+  if (OnChange)
+    OnChange(eventFor(state), report(now, entry.first, suspect), source);
+}
+
+void Quarantine::recordEnd(base::Instant now,
+                           const UnansweredRequest &unanswered) {
+  const auto it = Suspects.try_emplace(unanswered.Fingerprint).first;
+  Suspect &suspect = it->second;
+  suspect.Organisation = unanswered.Organisation;
+  End end{unanswered.Server, 0, unanswered.Kind, now, false};
+  for (const End &known : suspect.Ends) {
+    if (known.Server != unanswered.Server)
+      continue;
+    // Other copies of the request were on the server when it ended.
+    if (!known.IsWithdrawn && unanswered.SentAt <= known.ObservedAt)
+      return;
+    // The server took the request after its end: it has restarted.
+    end.Occurrence = std::max(end.Occurrence, known.Occurrence + 1);
+  }
+  if (end.Occurrence >= MaxOccurrences || suspect.Ends.size() >= MaxEnds)
+    return;
+  suspect.Ends.push_back(std::move(end));
+  markChanged(now, *it, "requests");
+  evictExcess(now);
+}
+
+void Quarantine::recordServed(base::Instant now,
+                              const RequestFingerprint &fingerprint) {
+  const auto it = Suspects.find(fingerprint);
+  if (it == Suspects.end() || endCount(now, it->second) == 0)
+    return;
+  it->second.ClearedAt = now;
+  markChanged(now, *it, "requests");
+}
+
+bool Quarantine::release(base::Instant now,
+                         const RequestFingerprint &fingerprint) {
+  const auto it = Suspects.find(fingerprint);
+  if (it == Suspects.end())
+    return false;
+  it->second.ClearedAt = now;
+  markChanged(now, *it, "operator");
+  return true;
+}
+
+template <typename Matches>
+void Quarantine::withdraw(base::Instant now, const ServerInstance &server,
+                          Matches matches) {
+  for (auto &entry : Suspects) {
+    bool isChanged = false;
+    for (End &end : entry.second.Ends) {
+      if (end.IsWithdrawn || !isSameLife(end.Server, server) || !matches(end))
+        continue;
+      end.IsWithdrawn = true;
+      isChanged = true;
+    }
+    if (isChanged)
+      markChanged(now, entry, "server");
+  }
+}
+
+void Quarantine::recordResponse(base::Instant now,
+                                const ServerInstance &server) {
+  withdraw(now, server, [&](const End &end) {
+    return end.Kind == EndKind::Silent &&
+           now - end.ObservedAt >= SurvivalMargin;
+  });
+}
+
+/// A renewal that was written before the server's end may arrive later by up to
+/// the renewal interval, so that an earlier one proves nothing.
+void Quarantine::recordRenewal(base::Instant now,
+                               const ServerInstance &server) {
+  withdraw(now, server, [&](const End &end) {
+    return now - end.ObservedAt >= Options.RenewalInterval;
+  });
+}
+
+bool Quarantine::claim(base::Instant now,
+                       const RequestFingerprint &fingerprint) {
+  if (Claims.contains(fingerprint) || bestPeerRank(now, fingerprint))
+    return false;
+  Claims[fingerprint] = {Random.next() | 1, now};
+  notifyPeers();
+  return true;
+}
+
+Quarantine::ClaimState
+Quarantine::claimState(base::Instant now,
+                       const RequestFingerprint &fingerprint) {
+  const auto it = Claims.find(fingerprint);
+  if (it == Claims.end())
+    return ClaimState::None;
+  OwnClaim &own = it->second;
+  if (own.Rank == BestRank)
+    return ClaimState::Held;
+  const auto other = bestPeerRank(now, fingerprint);
+  if (other && *other <= own.Rank) {
+    Claims.erase(it);
+    return ClaimState::None;
+  }
+  if (now - own.ClaimedAt < ClaimSettleTime)
+    return ClaimState::Settling;
+  own.Rank = BestRank;
+  return ClaimState::Held;
+}
+
+void Quarantine::endClaim(const RequestFingerprint &fingerprint) {
+  if (Claims.erase(fingerprint) > 0)
+    notifyPeers();
+}
+
+std::optional<std::uint64_t>
+Quarantine::bestPeerRank(base::Instant now,
+                         const RequestFingerprint &fingerprint) const {
+  std::optional<std::uint64_t> best;
+  for (const auto &[address, claims] : ClaimsByPeer) {
+    const auto it = claims.Ranks.find(fingerprint);
+    if (it == claims.Ranks.end() || now - claims.HeardAt >= ClaimTimeout)
+      continue;
+    best = std::min(best.value_or(it->second), it->second);
+  }
+  return best;
+}
+
+std::vector<RunClaim> Quarantine::ownClaims() const {
+  std::vector<RunClaim> claims;
+  for (const auto &[fingerprint, claim] : Claims)
+    claims.push_back({fingerprint, claim.Rank});
+  return claims;
+}
+
+void Quarantine::applyClaims(base::Instant now, const std::string &from,
+                             const std::vector<RunClaim> &claims) {
+  if (claims.empty()) {
+    ClaimsByPeer.erase(from);
+    return;
+  }
+  PeerClaims &peer = ClaimsByPeer[from];
+  peer.HeardAt = now;
+  peer.Ranks.clear();
+  for (const RunClaim &claim : claims)
+    peer.Ranks.emplace(claim.Fingerprint, claim.Rank);
+}
+
+SuspectReport Quarantine::report(base::Instant now,
+                                 const RequestFingerprint &fingerprint,
+                                 const Suspect &suspect) {
+  SuspectReport out{fingerprint, suspect.Organisation, {}, {}};
+  for (const End &end : suspect.Ends)
+    out.Ends.push_back({end.Server, end.Occurrence, end.Kind,
+                        now - end.ObservedAt, end.IsWithdrawn});
+  if (suspect.ClearedAt)
+    out.ClearedAge = now - *suspect.ClearedAt;
+  return out;
+}
+
+std::vector<SuspectReport> Quarantine::reports(base::Instant now) const {
+  struct Ranked {
+    std::size_t Ends;
+    base::Instant LatestAt;
+    SuspectMap::const_pointer Entry;
+  };
+  std::vector<Ranked> ranked;
+  for (const auto &entry : Suspects) {
+    const Suspect &suspect = entry.second;
+    const base::Instant latest =
+        suspect.Ends.empty() ? base::Instant{} : suspect.Ends.back().ObservedAt;
+    ranked.push_back({endCount(now, suspect), latest, &entry});
+  }
+  std::sort(ranked.begin(), ranked.end(), [](const Ranked &a, const Ranked &b) {
+    return std::pair(a.Ends, a.LatestAt) > std::pair(b.Ends, b.LatestAt);
+  });
+  if (ranked.size() > MaxReports)
+    ranked.resize(MaxReports);
+  std::vector<SuspectReport> reports;
+  for (const Ranked &r : ranked)
+    reports.push_back(report(now, r.Entry->first, r.Entry->second));
+  return reports;
+}
+
+std::vector<SuspectReport> Quarantine::takeChangedReports(base::Instant now) {
+  std::vector<SuspectReport> reports;
+  for (auto &[fingerprint, suspect] : Suspects) {
+    if (!suspect.IsChanged)
+      continue;
+    if (reports.size() == MaxReports)
+      break;
+    reports.push_back(report(now, fingerprint, suspect));
+    suspect.IsChanged = false;
+  }
+  return reports;
+}
+
+void Quarantine::applyReport(base::Instant now, std::string_view from,
+                             const SuspectReport &reported) {
+  const auto it = Suspects.try_emplace(reported.Fingerprint).first;
+  Suspect &suspect = it->second;
+  suspect.Organisation = reported.Organisation;
+  if (reported.ClearedAge) {
+    const base::Instant clearedAt = now - *reported.ClearedAge;
+    suspect.ClearedAt =
+        std::max(suspect.ClearedAt.value_or(clearedAt), clearedAt);
+  }
+  for (const EndReport &end : reported.Ends) {
+    const auto known = std::find_if(
+        suspect.Ends.begin(), suspect.Ends.end(), [&](const End &e) {
+          return e.Server == end.Server && e.Occurrence == end.Occurrence;
+        });
+    if (known != suspect.Ends.end())
+      known->IsWithdrawn |= end.IsWithdrawn;
+    else if (suspect.Ends.size() < MaxEnds)
+      suspect.Ends.push_back({end.Server, end.Occurrence, end.Kind,
+                              now - end.Age, end.IsWithdrawn});
+  }
+  reportState(now, *it, from);
+  evictExcess(now);
+}
+
+/// Evicts the requests with the fewest ends, the oldest first.
+void Quarantine::evictExcess(base::Instant now) {
+  while (Suspects.size() > MaxSuspects) {
+    const auto rank = [&](const SuspectMap::value_type &entry) {
+      const Suspect &suspect = entry.second;
+      return std::pair(endCount(now, suspect),
+                       suspect.Ends.empty() ? base::Instant{}
+                                            : suspect.Ends.back().ObservedAt);
+    };
+    const auto it = std::min_element(
+        Suspects.begin(), Suspects.end(),
+        [&](const auto &a, const auto &b) { return rank(a) < rank(b); });
+    Suspects.erase(it);
+  }
+}
+
+void Quarantine::evict(base::Instant now) {
+  std::erase_if(ClaimsByPeer, [&](const auto &entry) {
+    return now - entry.second.HeardAt >= ClaimTimeout;
+  });
+  for (auto &entry : Suspects)
+    reportState(now, entry, "expiry");
+  std::erase_if(Suspects, [&](const auto &entry) {
+    const Suspect &suspect = entry.second;
+    if (endCount(now, suspect) > 0)
+      return false;
+    base::Instant latest = suspect.ClearedAt.value_or(base::Instant{});
+    for (const End &end : suspect.Ends)
+      latest = std::max(latest, end.ObservedAt);
+    return now - latest >= ClearedRetention;
+  });
+}
+
+std::size_t Quarantine::count(base::Instant now, State state) const {
+  return static_cast<std::size_t>(
+      std::count_if(Suspects.begin(), Suspects.end(), [&](const auto &entry) {
+        return stateOf(now, entry.second) == state;
+      }));
+}
+
+} // namespace drumlanding::gateway
--- a/src/gateway/shell.cc
+++ b/src/gateway/shell.cc
@@ -46,6 +46,18 @@
     if (Ctx.NotifyPeers)
       Ctx.NotifyPeers();
   };
+  Ctx.Suspects.OnChange = [this](std::string_view event,
+                                 const SuspectReport &suspect,
+                                 std::string_view source) {
+    Ctx.Log.write(event, {{"fingerprint", toString(suspect.Fingerprint)},
+                          {"organisation", suspect.Organisation},
+                          {"ends", suspect.Ends.size()},
+                          {"source", source}});
+  };
+  Ctx.Suspects.OnUpdate = [this] {
+    if (Ctx.NotifyPeers)
+      Ctx.NotifyPeers();
+  };
   Ctx.Servers.OnOutageEnd = [this](base::Duration length) {
     Ctx.Log.write("store-outage-over", {{"ms", base::toMs(length)}});
   };
--- a/src/gateway/stream-forwarder.cc
+++ b/src/gateway/stream-forwarder.cc
@@ -1,6 +1,7 @@
 #include "stream-forwarder.h"
 
 #include "gateway-metrics.h"
+#include "suspect-requests.h"
 
 #include "drumlanding/base/hash.h"
 
@@ -41,7 +42,7 @@
   asio::awaitable<bool> sendToCaller(std::string events);
   asio::awaitable<bool> resume();
   asio::awaitable<bool> resumeAt(Server server, ResumePoint from);
-  void registerRun(const std::string &server);
+  void registerRun(const Server &server);
   void unregisterRun();
   void notifyIfLeaving();
   void logStreamEnd(std::string_view outcome);
@@ -51,6 +52,8 @@
   http::Exchange &X;
   Migrator &Migrations;
   StreamRunPointer Run;
+  /// The server that the run is on, and its life.
+  ServerInstance RunningOn;
   ServerResponse Head;
   bool IsHeadSent = false;
   base::Instant LastEventAt{};
@@ -59,8 +62,9 @@
   base::Duration MaxPause{0};
 };
 
-void StreamForwarder::registerRun(const std::string &server) {
-  Run->Server = server;
+void StreamForwarder::registerRun(const Server &server) {
+  RunningOn = {server.Listed.Id, server.Listed.StartedAt};
+  Run->Server = server.Listed.Id;
   Run->CopyServer.clear();
   TrackedRun run = Run->trackedRun();
   run.StartedAt = Ctx.now();
@@ -117,6 +121,16 @@
 /// false when the request has been answered or aborted.
 asio::awaitable<bool> StreamForwarder::openStream() {
   for (;;) {
+    const Turn turn = co_await waitForTurn(F);
+    if (F.HasCallerDisconnected) {
+      logStreamEnd("caller left");
+      co_return false;
+    }
+    if (turn != Turn::Granted) {
+      logStreamEnd("suspect");
+      co_await X.send(refuseSuspect(F, turn));
+      co_return false;
+    }
     const Demand demand{F.Request.PromptTokens, F.Request.ExpectedTokens};
     const Choice choice = Ctx.Placer.chooseForGeneration(
         Ctx.now(), *F.ChosenService, demand, F.TriedServers);
@@ -137,7 +151,7 @@
                              {"prompt_tokens", F.Request.PromptTokens},
                              {"expected_tokens", F.Request.ExpectedTokens}});
     countTowardsLimit(Ctx, id);
-    registerRun(id);
+    registerRun(server);
     Ctx.Servers.requestStarted(id);
     Attempt attempt = co_await attemptOpen(server);
     Ctx.Servers.requestEnded(id);
@@ -154,7 +168,9 @@
     unregisterRun();
     recordOutcome(F, id, attempt);
     if (attempt.End == AttemptOutcome::Incomplete)
-      logUnanswered(F, server);
+      recordUnanswered(F, server);
+    else if (attempt.Response && attempt.End != AttemptOutcome::NotRun)
+      recordCompleted(F);
     F.closeConnection();
     const bool hasServer = Ctx.Placer
                                .chooseForGeneration(Ctx.now(), *F.ChosenService,
@@ -175,9 +191,8 @@
     else if (step == Step::RefuseNotRun)
       response = makeRefusal(F, Verdict::NotRun, Reason::Overloaded);
     else
-      response =
-          makeRefusal(F, Verdict::MayHaveRun,
-                      F.IsExpired ? Reason::Expired : Reason::EngineLost);
+      response = makeRefusal(F, Verdict::MayHaveRun,
+                             lossReason(F, Reason::EngineLost));
     co_await X.send(std::move(response));
     co_return false;
   }
@@ -207,6 +222,7 @@
   for (;;) {
     auto piece = co_await F.Connection->read();
     if (ok(piece) && !value(piece).empty()) {
+      recordSignOfLife(Ctx, RunningOn);
       std::string events = Run->Events.feed(value(piece));
       if (!co_await sendToCaller(std::move(events))) {
         logStreamEnd("caller left");
@@ -219,6 +235,7 @@
       if (!IsHeadSent)
         co_await X.beginBody(Head.Status, Head.Headers);
       co_await X.endBody();
+      recordCompleted(F);
       logStreamEnd("whole");
       co_return;
     }
@@ -228,13 +245,12 @@
     if (isResumed)
       continue;
     if (const Server *server = Ctx.Servers.find(Run->Server))
-      logUnanswered(F, *server);
+      recordUnanswered(F, *server);
     logStreamEnd("broken off");
     if (IsHeadSent || F.HasCallerDisconnected)
       co_return;
     http::Response response =
-        makeRefusal(F, Verdict::MayHaveRun,
-                    F.IsExpired ? Reason::Expired : Reason::EngineLost);
+        makeRefusal(F, Verdict::MayHaveRun, lossReason(F, Reason::EngineLost));
     co_await X.send(std::move(response));
     co_return;
   }
@@ -292,7 +308,7 @@
     co_return false;
   if (!IsHeadSent)
     Head = *head;
-  registerRun(server.Listed.Id);
+  registerRun(server);
   Migrations.migrateIfLeaving(Run);
   co_return true;
 }
--- a/test/query-of-death-test.cc
+++ b/test/query-of-death-test.cc
@@ -95,9 +95,12 @@
     s.Service = "shop";
     s.Address = Address;
     s.Zone = "a";
+    s.Revision = Revision;
     return s;
   }
 
+  bool isAlive() const { return Acceptor.is_open() && !IsSilent; }
+
   asio::io_context &Io;
   const base::Clock &Clock;
   std::string Id;
@@ -109,6 +112,8 @@
   /// Called when the server has started again under its id.
   std::function<void()> OnRestart;
   int Served = 0;
+  /// The store's revision of its entry.
+  std::uint64_t Revision = 1;
 
 private:
   using SocketPointer = std::shared_ptr<tcp::socket>;
@@ -230,7 +235,7 @@
       co_return ConfigText{};
     };
     s.ReadServers = [this]() -> StoreReader::AsyncResult<ServerChanges> {
-      co_return listChanges();
+      co_return listChanges(0);
     };
     s.WatchServers =
         [this](std::uint64_t since,
@@ -238,8 +243,7 @@
       const base::Instant until = now() + wait;
       while (ListRevision <= since && now() < until)
         co_await sleepFor(PollInterval);
-      co_return ListRevision > since ? listChanges()
-                                     : ServerChanges{ListRevision, {}};
+      co_return listChanges(since);
     };
     s.DecodeConfig = [](std::string_view) -> base::Result<Config> {
       return makeConfig();
@@ -266,20 +270,24 @@
     return config;
   }
 
-  ServerChanges listChanges() const {
+  ServerChanges listChanges(std::uint64_t since) const {
     ServerChanges all;
     all.Revision = ListRevision;
     for (const auto &server : Servers)
-      all.Changes.push_back(
-          {server->Id, server->listed(), {}, ListRevision});
+      if (server->Revision > since)
+        all.Changes.push_back(
+            {server->Id, server->listed(), {}, server->Revision});
     return all;
   }
 
-  /// The servers renew their entries, also those that have not changed.
+  /// The servers that live renew their entries.
   asio::awaitable<void> renewEntries() {
     for (;;) {
       co_await sleepFor(RenewalInterval);
       ++ListRevision;
+      for (const auto &server : Servers)
+        if (server->isAlive())
+          server->Revision = ListRevision;
     }
   }
 
@@ -312,6 +320,7 @@
   }
 
   void startGateways(int count, bool hearEachOther = true) {
+    HearEachOther = hearEachOther;
     for (int i = 0; i < count; ++i)
       startGateway(hearEachOther);
   }
@@ -320,8 +329,16 @@
     for (const auto &gateway : Gateways)
       while (!gateway->context().isReady())
         co_await sleepFor(PollInterval);
-    // Until the gateways know each other.
-    co_await sleepFor(milliseconds(600));
+    while (HearEachOther && !doAllKnowEachOther())
+      co_await sleepFor(PollInterval);
+  }
+
+  bool doAllKnowEachOther() const {
+    return std::all_of(
+        Gateways.begin(), Gateways.end(), [this](const auto &gateway) {
+          return gateway->context().GatewayPeers.live(now()).size() + 1 ==
+                 Gateways.size();
+        });
   }
 
   template <typename Body> void runTest(Body body) {
@@ -378,9 +395,9 @@
   asio::awaitable<void> callOrdinaryUntil(std::function<bool()> isEnough,
                                           bool isHot = false) {
     for (std::size_t i = 0; !isEnough(); ++i) {
-      asio::co_spawn(
-          Io, callOrdinary(i, isHot ? "/hot" : "/x" + std::to_string(i)),
-          asio::detached);
+      asio::co_spawn(Io,
+                     callOrdinary(i, isHot ? "/hot" : "/x" + std::to_string(i)),
+                     asio::detached);
       co_await sleepFor(PollInterval);
     }
     co_await sleepFor(milliseconds(1'500));
@@ -390,7 +407,6 @@
     co_await callOrdinaryUntil([this] { return OpenCallers == 0; });
   }
 
-
   base::Instant now() const { return Clock.now().Steady; }
 
   static constexpr milliseconds RenewalInterval{400};
@@ -404,6 +420,7 @@
   OrdinaryResults Ordinary;
   std::uint64_t ListRevision = 1;
   int OpenCallers = 0;
+  bool HearEachOther = true;
   int LastAttempt = 0;
 };
 
