--- a/include/drumlanding/gateway/quarantine.h
+++ b/include/drumlanding/gateway/quarantine.h
@@ -141,8 +141,8 @@
   /// Returns the reports on the requests with the most, and then the latest,
   /// evidence; at most MaxReports.
   std::vector<SuspectReport> reports(base::Instant now) const;
-  /// Returns the reports that have changed since the last call; at most
-  /// MaxReports, the others with the next call.
+  /// Returns the reports that have changed; at most MaxReports, the others with
+  /// the next call. Each change is returned twice, since a message may be lost.
   std::vector<SuspectReport> takeChangedReports(base::Instant now);
   std::vector<RunClaim> ownClaims() const;
   void applyReport(base::Instant now, std::string_view from,
@@ -171,7 +171,8 @@
     std::optional<base::Instant> ClearedAt;
     /// The state that was last logged.
     State KnownState = State::Clear;
-    bool IsChanged = false;
+    /// The messages that still have to carry its latest change.
+    int SendsLeft = 0;
   };
   struct OwnClaim {
     std::uint64_t Rank = 0;
@@ -194,7 +195,7 @@
                    std::string_view source);
   void reportState(base::Instant now, SuspectMap::value_type &entry,
                    std::string_view source);
-  void notifyPeers() const;
+  void notifyPeers();
   template <typename Matches>
   void withdraw(base::Instant now, const ServerInstance &server,
                 Matches matches);
@@ -203,6 +204,8 @@
   bestPeerRank(base::Instant now, const RequestFingerprint &fingerprint) const;
   void evictExcess(base::Instant now);
 
+  /// The messages that still have to follow the latest change.
+  int MessagesLeft = 0;
   base::Random Random;
   QuarantineOptions Options;
   SuspectMap Suspects;
--- a/src/gateway/quarantine.cc
+++ b/src/gateway/quarantine.cc
@@ -20,6 +20,8 @@
 /// not hear each other.
 constexpr std::size_t MaxEnds = 16;
 constexpr std::uint64_t BestRank = 0;
+/// Messages to the other gateways that carry a change, in case one is lost.
+constexpr int SendsPerChange = 2;
 
 /// Returns true unless the start times show that these are different lives.
 bool isSameLife(const ServerInstance &a, const ServerInstance &b) {
@@ -86,14 +88,15 @@
   return ends[ends.size() - MaxEndedServers] + EvidenceRetention - now;
 }
 
-void Quarantine::notifyPeers() const {
+void Quarantine::notifyPeers() {
+  MessagesLeft = SendsPerChange;
   if (OnUpdate)
     OnUpdate();
 }
 
 void Quarantine::markChanged(base::Instant now, SuspectMap::value_type &entry,
                              std::string_view source) {
-  entry.second.IsChanged = true;
+  entry.second.SendsLeft = SendsPerChange;
   reportState(now, entry, source);
   notifyPeers();
 }
@@ -290,13 +293,18 @@
 std::vector<SuspectReport> Quarantine::takeChangedReports(base::Instant now) {
   std::vector<SuspectReport> reports;
   for (auto &[fingerprint, suspect] : Suspects) {
-    if (!suspect.IsChanged)
+    if (suspect.SendsLeft == 0)
       continue;
-    if (reports.size() == MaxReports)
+    if (reports.size() == MaxReports) {
+      MessagesLeft = SendsPerChange;
       break;
+    }
     reports.push_back(report(now, fingerprint, suspect));
-    suspect.IsChanged = false;
+    --suspect.SendsLeft;
   }
+  if (--MessagesLeft > 0 && OnUpdate)
+    OnUpdate();
+  MessagesLeft = std::max(MessagesLeft, 0);
   return reports;
 }
 
--- a/test/query-of-death-test.cc
+++ b/test/query-of-death-test.cc
@@ -16,6 +16,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
 #include <set>
 
 namespace drumlanding::gateway {
@@ -36,6 +37,8 @@
 /// The servers that one request may end. It is not sent to another one after
 /// that.
 constexpr std::size_t MaxEndedServers = 3;
+/// A refused request is answered this fast.
+constexpr milliseconds MaxRefusalTime{100};
 constexpr std::string_view DeadlyPath = "/deadly";
 
 /// What a server does when it gets the request of death.
@@ -359,8 +362,9 @@
     EXPECT_TRUE(isDone) << "the test hangs";
   }
 
-  /// Returns the status; 0 when no complete response arrived.
-  asio::awaitable<int> call(std::size_t gateway, std::string path) {
+  /// Returns the response; status 0 when no complete one arrived.
+  asio::awaitable<http::Response> callFor(std::size_t gateway,
+                                          std::string path) {
     http::Request request{"GET",
                           std::move(path),
                           {{"Host", "a.example"},
@@ -370,7 +374,49 @@
         Gateways[gateway % Gateways.size()]->context().Settings.Listen;
     http::FetchResult fetched =
         co_await http::fetch(to, std::move(request), seconds(3));
-    co_return ok(fetched.Outcome) ? value(fetched.Outcome).Status : 0;
+    http::Response none;
+    none.Status = 0;
+    co_return ok(fetched.Outcome) ? value(fetched.Outcome) : none;
+  }
+
+  asio::awaitable<int> call(std::size_t gateway, std::string path) {
+    const http::Response response = co_await callFor(gateway, std::move(path));
+    co_return response.Status;
+  }
+
+  /// Calls a gateway's control address.
+  asio::awaitable<http::Response>
+  operate(std::size_t gateway, std::string method, std::string path) {
+    http::Request request{std::move(method), std::move(path), {}, {}};
+    const base::Endpoint to =
+        Gateways[gateway]->context().Settings.ControlListen;
+    http::FetchResult fetched =
+        co_await http::fetch(to, std::move(request), seconds(3));
+    co_return value(fetched.Outcome);
+  }
+
+  /// Crashes servers one after another, whatever they run.
+  asio::awaitable<void> crashServers(int count) {
+    ++OpenCallers;
+    for (int i = 0; i < count; ++i) {
+      co_await sleepFor(CrashInterval);
+      Servers[static_cast<std::size_t>(i)]->end();
+    }
+    co_await sleepFor(CrashInterval);
+    --OpenCallers;
+  }
+
+  std::size_t count(Quarantine::State state) const {
+    std::size_t n = 0;
+    for (const auto &gateway : Gateways)
+      n += gateway->context().Suspects.count(now(), state);
+    return n;
+  }
+  std::size_t quarantinedRequests() const {
+    return count(Quarantine::State::Quarantined);
+  }
+  std::size_t suspectRequests() const {
+    return count(Quarantine::State::Suspect);
   }
 
   /// A caller that repeats the request of death at once, each time at another
@@ -410,6 +456,7 @@
   base::Instant now() const { return Clock.now().Steady; }
 
   static constexpr milliseconds RenewalInterval{400};
+  static constexpr milliseconds CrashInterval{400};
 
   asio::io_context Io{1};
   base::SystemClock Clock;
@@ -467,5 +514,122 @@
   });
 }
 
+/// Guards against servers that start again under their ids, before the list
+/// tells, and end again (issue 26, BUDGET).
+TEST_F(QueryOfDeathTest, RestartingServersEndThreeTimesAtMost) {
+  startServers(3, EndMode::Restart);
+  startGateways(3);
+  runTest([&]() -> asio::awaitable<void> {
+    asio::co_spawn(Io, repeatDeadly(20), asio::detached);
+    co_await callOrdinaryWhileCallersTry();
+    EXPECT_LE(Deadly.Ends.size(), MaxEndedServers);
+    EXPECT_EQ(Deadly.arrivalsAfterLastAllowedEnd(), 0u);
+  });
+}
+
+/// Guards against a further try that waits, or that is told that it may have
+/// run: no server gets it (issue 26, BUDGET).
+TEST_F(QueryOfDeathTest, AQuarantinedRequestIsRefusedAtOnceAsNotRun) {
+  startServers(10);
+  startGateways(3);
+  runTest([&]() -> asio::awaitable<void> {
+    co_await repeatDeadly(4);
+    const base::Instant sentAt = now();
+    const http::Response response =
+        co_await callFor(1, std::string(DeadlyPath));
+    EXPECT_LT(now() - sentAt, MaxRefusalTime);
+    EXPECT_EQ(response.Status, 503);
+    EXPECT_EQ(http::findHeader(response.Headers, "Drumlanding-Verdict"),
+              "not-run");
+    EXPECT_GT(std::stod(std::string(
+                  http::findHeader(response.Headers, "Retry-After"))),
+              60);
+    // The try that ended servers may have run.
+    EXPECT_EQ(Statuses.front(), 502);
+  });
+}
+
+/// Guards against a gateway that starts and lets the request end three more
+/// servers (issue 26, BUDGET).
+TEST_F(QueryOfDeathTest, AGatewayThatStartsKnowsTheQuarantine) {
+  startServers(10);
+  startGateways(3);
+  runTest([&]() -> asio::awaitable<void> {
+    co_await repeatDeadly(4);
+    startGateway();
+    co_await waitUntilReady();
+    const int status =
+        co_await call(Gateways.size() - 1, std::string(DeadlyPath));
+    EXPECT_EQ(status, 503);
+    EXPECT_LE(Deadly.Ends.size(), MaxEndedServers);
+  });
+}
+
+/// What is left when gateways do not hear each other: three servers each.
+TEST_F(QueryOfDeathTest, GatewaysThatHearNobodyEndThreeServersEach) {
+  constexpr int GatewayCount = 4;
+  startServers(20);
+  startGateways(GatewayCount, false);
+  runTest([&]() -> asio::awaitable<void> {
+    asio::co_spawn(Io, repeatDeadly(30), asio::detached);
+    co_await callOrdinaryWhileCallersTry();
+    EXPECT_LE(Deadly.Ends.size(), GatewayCount * MaxEndedServers);
+  });
+}
+
+/// Guards against the blame of a request that was on every server that
+/// crashed: it is served by the others.
+TEST_F(QueryOfDeathTest, AHotRequestIsNotBlamedForPlainCrashes) {
+  constexpr int Crashes = 8;
+  startServers(20);
+  startGateways(5);
+  runTest([&]() -> asio::awaitable<void> {
+    asio::co_spawn(Io, crashServers(Crashes), asio::detached);
+    co_await callOrdinaryUntil([this] { return OpenCallers == 0; }, true);
+    EXPECT_EQ(Ordinary.Failed, 0);
+    EXPECT_EQ(quarantinedRequests(), 0u);
+  });
+}
+
+/// Guards against the blame of requests for servers that close connections and
+/// live on.
+TEST_F(QueryOfDeathTest, RequestsAreNotBlamedForServersThatLiveOn) {
+  startServers(6);
+  startGateways(3);
+  for (const auto &server : Servers)
+    server->HangupProbability = 0.3;
+  runTest([&]() -> asio::awaitable<void> {
+    const base::Instant from = now();
+    co_await callOrdinaryUntil([&] { return now() - from > seconds(3); });
+    // The servers renew their entries, which withdraws the evidence.
+    co_await sleepFor(3 * RenewalInterval);
+    EXPECT_EQ(quarantinedRequests(), 0u);
+    EXPECT_EQ(suspectRequests(), 0u);
+  });
+}
+
+/// An operator sees a quarantined request and releases it at all gateways.
+TEST_F(QueryOfDeathTest, AnOperatorReleasesAQuarantinedRequest) {
+  startServers(10);
+  startGateways(3);
+  runTest([&]() -> asio::awaitable<void> {
+    co_await repeatDeadly(4);
+    const http::Response list = co_await operate(1, "GET", "/suspects");
+    const auto entries = nlohmann::json::parse(list.Body);
+    EXPECT_EQ(entries.size(), 1u);
+    EXPECT_TRUE(entries.at(0).at("quarantined").get<bool>());
+    EXPECT_EQ(entries.at(0).at("ends").size(), MaxEndedServers);
+    const std::string path =
+        "/suspects/" + entries.at(0).at("fingerprint").get<std::string>();
+    const http::Response released = co_await operate(1, "DELETE", path);
+    EXPECT_EQ(released.Status, 200);
+    while (quarantinedRequests() > 0)
+      co_await sleepFor(PollInterval);
+    const http::Response malformed =
+        co_await operate(1, "DELETE", "/suspects/7");
+    EXPECT_EQ(malformed.Status, 400);
+  });
+}
+
 } // namespace
 } // namespace drumlanding::gateway
