gateway: Ask a server that closed a connection for a new one before blaming the request

The renewals that should have withdrawn the evidence never came: on the users' platform a watch tells of an entry only when more than its sequence number changes (a trial that logs them shows renewals of starting servers only).

A server that closed a connection is now asked for a new one after 30 ms: a process that has ended refuses it, one that accepts lives on, which withdraws the evidence at all gateways. A process that hangs accepts too, so that silence is withdrawn by a response alone. Besides, an entry that is still listed after five renewals without an outage withdraws closed connections.

--- a/include/drumlanding/gateway/directory.h
+++ b/include/drumlanding/gateway/directory.h
@@ -186,6 +186,11 @@
   void requestStarted(std::string_view id);
   void requestEnded(std::string_view id);
 
+  /// Returns whether a server is known to be alive although it seemed to end at
+  /// `endAt`: its entry, which expires without renewals, is still in the store.
+  bool hasOutlived(base::Instant now, const ServerInstance &instance,
+                   base::Instant endAt) const;
+
   const Server *find(std::string_view id) const;
   std::vector<const Server *> all() const;
   /// Returns the servers of a service that may receive new requests. When all
--- a/include/drumlanding/gateway/quarantine.h
+++ b/include/drumlanding/gateway/quarantine.h
@@ -1,7 +1,7 @@
 /// Quarantine: keeps requests that end the servers which run them (queries of
 /// death) from ending one server after another, over all gateways.
 ///
-///   Quarantine q(ownAddress, rank, options);
+///   Quarantine q(random);
 ///   q.recordEnd(now, {fingerprint, organisation, server, sentAt, kind});
 ///   q.state(now, fingerprint);               // Suspect, later Quarantined
 ///   q.claim(now, fingerprint);               // before a suspect request is
@@ -75,11 +75,6 @@
   std::uint64_t Rank = 0;
 };
 
-struct QuarantineOptions {
-  /// Interval at which servers renew their entries in the store.
-  base::milliseconds RenewalInterval = Directory::DefaultRenewalInterval;
-};
-
 class Quarantine {
 public:
   /// The servers that may end under one request.
@@ -101,8 +96,10 @@
     Held,
   };
 
-  Quarantine(base::Random random, QuarantineOptions options)
-      : Random(random), Options(options) {}
+  /// Minimum time in which a server process ends and starts again.
+  static constexpr base::milliseconds MinRestartTime{30};
+
+  explicit Quarantine(base::Random random) : Random(random) {}
 
   /// Called when a request becomes suspect or quarantined or is cleared, with
   /// the event's name and its source: "requests", "operator", "server",
@@ -119,8 +116,15 @@
   void recordServed(base::Instant now, const RequestFingerprint &fingerprint);
   /// Records a response of a server to any request.
   void recordResponse(base::Instant now, const ServerInstance &server);
-  /// Records that a server renewed its entry in the store.
-  void recordRenewal(base::Instant now, const ServerInstance &server);
+  /// Records that a server accepted a connection. A closed connection was not
+  /// its end unless it has restarted since, which takes MinRestartTime.
+  void recordConnection(base::Instant now, const ServerInstance &server);
+  /// Withdraws the evidence of closed connections of servers that `hasOutlived`
+  /// it.
+  void withdrawOutlived(
+      base::Instant now,
+      const std::function<bool(const ServerInstance &, base::Instant endAt)>
+          &hasOutlived);
   /// Releases a request from quarantine. Returns false if it is unknown.
   bool release(base::Instant now, const RequestFingerprint &fingerprint);
 
@@ -196,9 +200,8 @@
   void reportState(base::Instant now, SuspectMap::value_type &entry,
                    std::string_view source);
   void notifyPeers();
-  template <typename Matches>
-  void withdraw(base::Instant now, const ServerInstance &server,
-                Matches matches);
+  /// Withdraws all ends that match.
+  template <typename Matches> void withdraw(base::Instant now, Matches matches);
   /// Returns the lowest rank of the other gateways' claims.
   std::optional<std::uint64_t>
   bestPeerRank(base::Instant now, const RequestFingerprint &fingerprint) const;
@@ -207,7 +210,6 @@
   /// The messages that still have to follow the latest change.
   int MessagesLeft = 0;
   base::Random Random;
-  QuarantineOptions Options;
   SuspectMap Suspects;
   std::map<RequestFingerprint, OwnClaim> Claims;
   std::map<std::string, PeerClaims> ClaimsByPeer;
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -377,6 +377,18 @@
     --it->second.OpenRequests;
 }
 
+bool Directory::hasOutlived(base::Instant now, const ServerInstance &instance,
+                            base::Instant endAt) const {
+  // An entry expires after three missed renewals; its removal is known some
+  // time later.
+  constexpr int Renewals = 5;
+  const Server *server = find(instance.Id);
+  return server && server->IsListed && !server->IsMissing &&
+         server->Listed.StartedAt == instance.StartedAt &&
+         now - endAt >= Renewals * (ExpiryTime / MissedRenewals) &&
+         now - StoreContactAt < ExpiryTime && StoreStableSince <= endAt;
+}
+
 const Server *Directory::find(std::string_view id) const {
   const auto it = Servers.find(id);
   return it == Servers.end() ? nullptr : &it->second;
--- a/src/gateway/gateway-context.h
+++ b/src/gateway/gateway-context.h
@@ -80,8 +80,10 @@
   RunTable Runs;
   RequestLimits Limits{base::Random(base::secureRandom64()).unit()};
   /// Requests under which servers have ended.
-  Quarantine Suspects{base::Random(base::secureRandom64()),
-                      {Settings.RenewalInterval}};
+  Quarantine Suspects{base::Random(base::secureRandom64())};
+  /// Servers that are about to be asked for a connection, and the latest time
+  /// at which they closed one without a response.
+  std::map<std::string, base::Instant> ClosedAtByServer;
   Placement Placer;
   RetryBudget Budget;
   base::Random Random;
--- a/src/gateway/gossip.cc
+++ b/src/gateway/gossip.cc
@@ -340,6 +340,10 @@
     Ctx.Limits.evict(now, [this](std::string_view id) {
       return Ctx.Servers.find(id) != nullptr;
     });
+    Ctx.Suspects.withdrawOutlived(
+        now, [&](const ServerInstance &server, base::Instant endAt) {
+          return Ctx.Servers.hasOutlived(now, server, endAt);
+        });
     Ctx.Suspects.evict(now);
     Ctx.WatchesList = Ctx.GatewayPeers.shouldWatchList(now);
   }
--- a/src/gateway/quarantine.cc
+++ b/src/gateway/quarantine.cc
@@ -155,12 +155,11 @@
 }
 
 template <typename Matches>
-void Quarantine::withdraw(base::Instant now, const ServerInstance &server,
-                          Matches matches) {
+void Quarantine::withdraw(base::Instant now, Matches matches) {
   for (auto &entry : Suspects) {
     bool isChanged = false;
     for (End &end : entry.second.Ends) {
-      if (end.IsWithdrawn || !isSameLife(end.Server, server) || !matches(end))
+      if (end.IsWithdrawn || !matches(end))
         continue;
       end.IsWithdrawn = true;
       isChanged = true;
@@ -172,18 +171,28 @@
 
 void Quarantine::recordResponse(base::Instant now,
                                 const ServerInstance &server) {
-  withdraw(now, server, [&](const End &end) {
-    return end.Kind == EndKind::Silent &&
+  withdraw(now, [&](const End &end) {
+    return end.Kind == EndKind::Silent && isSameLife(end.Server, server) &&
            now - end.ObservedAt >= SurvivalMargin;
   });
 }
 
-/// A renewal that was written before the server's end may arrive later by up to
-/// the renewal interval, so that an earlier one proves nothing.
-void Quarantine::recordRenewal(base::Instant now,
-                               const ServerInstance &server) {
-  withdraw(now, server, [&](const End &end) {
-    return now - end.ObservedAt >= Options.RenewalInterval;
+void Quarantine::recordConnection(base::Instant now,
+                                  const ServerInstance &server) {
+  withdraw(now, [&](const End &end) {
+    return end.Kind == EndKind::Closed && isSameLife(end.Server, server) &&
+           now - end.ObservedAt >= MinRestartTime;
+  });
+}
+
+void Quarantine::withdrawOutlived(
+    base::Instant now,
+    const std::function<bool(const ServerInstance &, base::Instant endAt)>
+        &hasOutlived) {
+  withdraw(now, [&](const End &end) {
+    // A process that hangs may go on renewing its entry.
+    return end.Kind == EndKind::Closed &&
+           hasOutlived(end.Server, end.ObservedAt);
   });
 }
 
--- a/src/gateway/store-watch.cc
+++ b/src/gateway/store-watch.cc
@@ -109,13 +109,6 @@
                   {{"server", change.Id}, {"why", change.Problem}});
 }
 
-void applyRenewal(GatewayContext &ctx, base::Instant now,
-                  const ListedServer &listed) {
-  ctx.Servers.put(now, listed);
-  if (!ctx.Suspects.isEmpty())
-    ctx.Suspects.recordRenewal(now, {listed.Id, listed.StartedAt});
-}
-
 void applyChanges(GatewayContext &ctx, const ServerChanges &changes) {
   const base::Instant now = ctx.now();
   recordListRead(ctx, now);
@@ -129,7 +122,7 @@
     if (isChanged)
       ctx.PendingListChanges.push_back(change);
     if (change.Listed)
-      applyRenewal(ctx, now, *change.Listed);
+      ctx.Servers.put(now, *change.Listed);
     else
       ctx.Servers.remove(now, {change.Id, change.Revision});
   }
--- a/src/gateway/suspect-requests.cc
+++ b/src/gateway/suspect-requests.cc
@@ -5,6 +5,8 @@
 #include "drumlanding/daemon/sleep.h"
 
 #include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 
 namespace drumlanding::gateway {
@@ -17,6 +19,8 @@
 /// times as long as most plain calls take.
 constexpr milliseconds MaxTurnWait{250};
 constexpr milliseconds TurnCheckInterval{5};
+/// Connecting takes a few ms.
+constexpr milliseconds VerifyTimeout{400};
 /// A server that has sent nothing to any request for this long may have ended.
 constexpr milliseconds MinSilence{250};
 
@@ -123,6 +127,42 @@
   return makeSuspectRefusal(f, wait);
 }
 
+namespace {
+
+/// Asks a server that closed a connection for a new one. If it accepts, it
+/// has not ended: a process that ends closes its port too.
+asio::awaitable<void> verifyEnd(GatewayContext &ctx, Server server) {
+  const std::string id = server.Listed.Id;
+  for (;;) {
+    const base::Instant closedAt = ctx.ClosedAtByServer[id];
+    const base::Duration age = ctx.now() - closedAt;
+    if (age < Quarantine::MinRestartTime)
+      co_await daemon::sleepFor(
+          std::chrono::ceil<milliseconds>(Quarantine::MinRestartTime - age));
+    if (ctx.ClosedAtByServer[id] == closedAt)
+      break;
+  }
+  ctx.ClosedAtByServer.erase(id);
+  auto opened =
+      co_await http::Connection::open(server.Listed.Address, VerifyTimeout);
+  const bool isOpen = ok(opened);
+  if (isOpen) {
+    value(opened)->close();
+    ctx.Suspects.recordConnection(ctx.now(), {id, server.Listed.StartedAt});
+  }
+  ctx.Log.write("server-end-checked", {{"server", id}, {"accepts", isOpen}});
+}
+
+void scheduleVerification(GatewayContext &ctx, const Server &server) {
+  const auto [it, isNew] =
+      ctx.ClosedAtByServer.try_emplace(server.Listed.Id, ctx.now());
+  it->second = ctx.now();
+  if (isNew)
+    asio::co_spawn(ctx.Io, verifyEnd(ctx, server), asio::detached);
+}
+
+} // namespace
+
 void recordUnanswered(ForwardedRequest &f, const Server &server) {
   logUnanswered(f, server);
   const auto kind = classifyEnd(f, server);
@@ -136,6 +176,8 @@
                             {server.Listed.Id, server.Listed.StartedAt},
                             f.SentAt,
                             *kind});
+  if (*kind == EndKind::Closed)
+    scheduleVerification(f.Ctx, server);
 }
 
 void recordCompleted(ForwardedRequest &f) {
