gateway, http: Bound the memory for responses without end

A gateway gathered a body until the request's deadline, skipped the response to another request in the same way, and had no limit on the header of a chunk or on an event; our own calls (store, sidecars, other gateways) had none on the header of a chunk, and the entry's streams none on an event or on the body of a failure.

The server counts as having given no complete response, and the request is not suspected.

--- a/include/drumlanding/base/result.h
+++ b/include/drumlanding/base/result.h
@@ -22,6 +22,7 @@
   Forbidden,    ///< The credential or signature does not permit it.
   Closed,       ///< The peer closed the connection.
   Malformed,    ///< The peer sent something that is no message.
+  TooLarge,     ///< The peer sent more than is allowed.
 };
 
 /// An error and its place: a flag, a path in a document or a peer.
--- a/include/drumlanding/gateway/event-splitter.h
+++ b/include/drumlanding/gateway/event-splitter.h
@@ -18,6 +18,8 @@
 
 class EventSplitter {
 public:
+  static constexpr std::size_t MaxEventBytes = 1 << 20;
+
   /// Appends bytes and returns the complete events whose ids are greater than
   /// all previous ones. Events without an id are always returned.
   std::string feed(std::string_view bytes);
@@ -27,6 +29,8 @@
 
   /// Returns true if the buffer holds the start of an incomplete event.
   bool hasPartialEvent() const { return !Pending.empty(); }
+  /// Returns true if the incomplete event is larger than any server may send.
+  bool isTooLarge() const { return Pending.size() > MaxEventBytes; }
   std::optional<std::int64_t> lastId() const { return LastId; }
   std::uint64_t eventCount() const { return EventCount; }
 
--- a/src/gateway/forwarded-request.cc
+++ b/src/gateway/forwarded-request.cc
@@ -138,6 +138,8 @@
     return "expired";
   if (f.ReadError == base::ErrorCode::Closed)
     return "closed by the server";
+  if (f.ReadError == base::ErrorCode::TooLarge)
+    return "response too large";
   return f.ReadError == base::ErrorCode::Malformed ? "malformed response"
                                                    : "lost";
 }
@@ -196,6 +198,7 @@
 }
 
 asio::awaitable<std::optional<std::string>> readBody(ForwardedRequest &f) {
+  ResponseMemory::Allocation memory(f.Ctx.ResponseBodies);
   std::string body;
   for (;;) {
     auto piece = co_await f.Connection->read();
@@ -205,6 +208,10 @@
     }
     if (value(piece).empty())
       co_return body;
+    if (!memory.grow(value(piece).size())) {
+      f.ReadError = base::ErrorCode::TooLarge;
+      co_return std::nullopt;
+    }
     body += value(piece);
   }
 }
@@ -295,6 +302,8 @@
 Reason lossReason(ForwardedRequest &f, Reason loss) {
   if (f.IsExpired)
     return Reason::Expired;
+  if (f.ReadError == base::ErrorCode::TooLarge)
+    return Reason::AnswerTooLarge;
   return isQuarantined(f) ? Reason::Quarantined : loss;
 }
 
--- a/src/gateway/forwarded-request.h
+++ b/src/gateway/forwarded-request.h
@@ -120,7 +120,8 @@
 asio::awaitable<std::optional<ServerResponse>>
 readMatchingHead(ForwardedRequest &f, Server server);
 
-/// Reads the body to its end; returns nullopt when it is truncated.
+/// Reads the body to its end; returns nullopt when it is truncated or too
+/// large.
 asio::awaitable<std::optional<std::string>> readBody(ForwardedRequest &f);
 
 /// Classifies a complete response as the end of an attempt.
--- a/src/gateway/gateway-context.h
+++ b/src/gateway/gateway-context.h
@@ -12,6 +12,7 @@
 #include "drumlanding/gateway/protocol-codec.h"
 #include "drumlanding/gateway/quarantine.h"
 #include "drumlanding/gateway/request-limits.h"
+#include "drumlanding/gateway/response-memory.h"
 #include "drumlanding/gateway/retry-budget.h"
 #include "drumlanding/gateway/routes.h"
 #include "drumlanding/gateway/run-table.h"
@@ -41,6 +42,7 @@
   /// UDP port of the engines' sidecars; 0 when there are no sidecars.
   std::uint16_t SidecarPort = 0;
   RetryBudgetOptions Retries;
+  ResponseLimits Responses;
   /// Minimum time that a server keeps serving after it has announced a planned
   /// leave.
   base::milliseconds DrainTime{2'000};
@@ -86,6 +88,7 @@
   std::map<std::string, base::Instant> ClosedAtByServer;
   Placement Placer;
   RetryBudget Budget;
+  ResponseMemory ResponseBodies{Settings.Responses};
   base::Random Random;
   std::uint64_t Incarnation = base::secureRandom64();
   Peers GatewayPeers;
--- a/src/gateway/main.cc
+++ b/src/gateway/main.cc
@@ -46,6 +46,12 @@
 DEFINE_int32(renewal_ms, 1200,
              "[decisions] interval at which servers renew their entries in the "
              "store, in ms, 10 to 600000");
+DEFINE_int64(max_response_bytes, 8 << 20,
+             "[decisions] maximum size of a response of a plain service, in "
+             "bytes, 65536 to 1073741824");
+DEFINE_int64(response_memory_bytes, 24 << 20,
+             "[decisions] maximum memory for the responses that are being "
+             "received, in bytes, 65536 to 1073741824");
 DEFINE_double(grace_s, 8,
               "[process] seconds from the stop signal to the kill, 1 to 600");
 
@@ -53,11 +59,23 @@
 
 using namespace drumlanding;
 
-constexpr std::string_view Flags[] = {
-    "node_file",  "listen",      "ready_listen",   "gateway_listen",
-    "platform",   "seeds",       "metrics_listen", "sidecar_port",
-    "retry_part", "retry_extra", "drain_ms",       "retry_window_s",
-    "grace_s",    "renewal_ms",  "config_apply_ms"};
+constexpr std::string_view Flags[] = {"node_file",
+                                      "listen",
+                                      "ready_listen",
+                                      "gateway_listen",
+                                      "platform",
+                                      "seeds",
+                                      "metrics_listen",
+                                      "sidecar_port",
+                                      "retry_part",
+                                      "retry_extra",
+                                      "drain_ms",
+                                      "retry_window_s",
+                                      "grace_s",
+                                      "renewal_ms",
+                                      "config_apply_ms",
+                                      "max_response_bytes",
+                                      "response_memory_bytes"};
 
 base::milliseconds toMilliseconds(double seconds) {
   return base::milliseconds(static_cast<std::int64_t>(seconds * 1000));
@@ -94,6 +112,21 @@
   return base::Done{};
 }
 
+base::Result<base::Done> readResponseLimits(gateway::ResponseLimits &limits) {
+  constexpr std::int64_t Min = 64 << 10;
+  constexpr std::int64_t Max = 1 << 30;
+  const auto isValid = [](std::int64_t n) { return n >= Min && n <= Max; };
+  if (!isValid(FLAGS_max_response_bytes))
+    return base::invalid("--max_response_bytes",
+                         "must be from 65536 to 1073741824");
+  if (!isValid(FLAGS_response_memory_bytes))
+    return base::invalid("--response_memory_bytes",
+                         "must be from 65536 to 1073741824");
+  limits.MaxBodyBytes = static_cast<std::size_t>(FLAGS_max_response_bytes);
+  limits.MaxTotalBytes = static_cast<std::size_t>(FLAGS_response_memory_bytes);
+  return base::Done{};
+}
+
 base::Result<gateway::GatewaySettings> readGatewaySettings(int argc,
                                                            char **argv) {
   const auto process = daemon::readProcessSettings(
@@ -125,6 +158,8 @@
     return base::invalid("--renewal_ms", "must be from 10 to 600000");
   if (FLAGS_config_apply_ms < 100 || FLAGS_config_apply_ms > 600000)
     return base::invalid("--config_apply_ms", "must be from 100 to 600000");
+  if (auto r = readResponseLimits(settings.Responses); !ok(r))
+    return error(r);
   settings.MaxConfigApplyTime = base::milliseconds(FLAGS_config_apply_ms);
   settings.RenewalInterval = base::milliseconds(FLAGS_renewal_ms);
   settings.TerminationGracePeriod = toMilliseconds(FLAGS_grace_s);
--- a/src/gateway/shell.cc
+++ b/src/gateway/shell.cc
@@ -154,7 +154,9 @@
   Ctx.Settings.DrainTime = updated.DrainTime;
   Ctx.Settings.MaxConfigApplyTime = updated.MaxConfigApplyTime;
   Ctx.Settings.TerminationGracePeriod = updated.TerminationGracePeriod;
+  Ctx.Settings.Responses = updated.Responses;
   Ctx.Budget.setOptions(updated.Retries);
+  Ctx.ResponseBodies.setLimits(updated.Responses);
   Ctx.Log.write("settings-taken", {{"needs_restart", needsRestart}});
 }
 
--- a/src/gateway/stream-forwarder.cc
+++ b/src/gateway/stream-forwarder.cc
@@ -228,7 +228,10 @@
         logStreamEnd("caller left");
         co_return;
       }
-      continue;
+      if (!Run->Events.isTooLarge())
+        continue;
+      piece = base::Error{base::ErrorCode::TooLarge, Run->Server, "event"};
+      F.closeConnection();
     }
     const bool isEnd = ok(piece) && !Run->Events.hasPartialEvent();
     if (isEnd) {
--- a/src/gateway/suspect-requests.cc
+++ b/src/gateway/suspect-requests.cc
@@ -29,7 +29,8 @@
 std::optional<EndKind> classifyEnd(const ForwardedRequest &f,
                                    const Server &server) {
   const Server *known = f.Ctx.Servers.find(server.Listed.Id);
-  if (!known || f.ReadError == base::ErrorCode::Malformed)
+  if (!known || f.ReadError == base::ErrorCode::Malformed ||
+      f.ReadError == base::ErrorCode::TooLarge)
     return std::nullopt;
   const bool isAnnounced =
       known->IsLeaving && !known->IsPresumedLeaving && !known->IsReplaced;
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -17,6 +17,11 @@
 using boost::system::error_code;
 
 constexpr std::size_t MaxResponseBytes = 8 << 20;
+/// Maximum number of bytes that wait to be parsed. The parser has no limit of
+/// its own on the header of a chunk.
+constexpr std::size_t MaxUnparsedBytes = 128 << 10;
+/// Maximum size of a server-sent event.
+constexpr std::size_t MaxEventBytes = 1 << 20;
 /// A transfer slower than this counts as stalled. A megabyte takes a minute.
 constexpr std::size_t MinBytesPerSecond = 16 << 10;
 
@@ -74,7 +79,7 @@
 class EventParser {
 public:
   /// Calls `onEvent` for every event that `bytes` completes; returns false once
-  /// it does.
+  /// it does, or when an event is larger than MaxEventBytes.
   bool feed(std::string_view bytes, const EventHandler &onEvent) {
     Pending += bytes;
     std::size_t from = 0;
@@ -90,7 +95,7 @@
         return false;
     }
     Pending.erase(0, from);
-    return true;
+    return Pending.size() + Current.Data.size() <= MaxEventBytes;
   }
 
 private:
@@ -187,7 +192,7 @@
   auto message = toMessage(to, std::move(request));
   error_code ec =
       co_await writeRequest(stream, std::move(message), idleTimeout);
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(MaxUnparsedBytes);
   StringParser parser;
   parser.body_limit(MaxResponseBytes);
   if (idleTimeout)
@@ -231,7 +236,7 @@
   error_code ec;
   co_await beast::http::async_write(stream, message,
                                     asio::redirect_error(use_awaitable, ec));
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(MaxUnparsedBytes);
   beast::http::response_parser<beast::http::buffer_body> parser;
   parser.body_limit(boost::none);
   if (!ec)
@@ -259,7 +264,7 @@
       shouldContinue = events.feed(bytes, onEvent);
     else
       end.Body += bytes;
-    if (ec)
+    if (ec || end.Body.size() > MaxResponseBytes)
       break;
   }
   end.IsComplete = shouldContinue && parser.is_done() && !ec;
--- a/src/http/connection.cc
+++ b/src/http/connection.cc
@@ -24,6 +24,9 @@
 constexpr std::size_t MaxReadBytes = 16 << 10;
 /// Maximum size of the headers of a response.
 constexpr std::uint32_t MaxHeadBytes = 32 << 10;
+/// Maximum number of bytes that wait to be parsed. The parser has no limit of
+/// its own on the header of a chunk.
+constexpr std::size_t MaxUnparsedBytes = 128 << 10;
 
 base::ErrorCode toErrorCode(const error_code &ec) {
   namespace error = boost::asio::error;
@@ -33,6 +36,9 @@
       ec == beast::http::error::partial_message || ec == error::eof ||
       ec == error::connection_reset || ec == error::broken_pipe)
     return base::ErrorCode::Closed;
+  if (ec == beast::http::error::header_limit ||
+      ec == beast::http::error::buffer_overflow)
+    return base::ErrorCode::TooLarge;
   // All other errors of the parser.
   if (ec.category() ==
       beast::http::make_error_code(beast::http::error::bad_status).category())
@@ -117,7 +123,7 @@
 
   base::Endpoint Peer;
   beast::tcp_stream Stream;
-  beast::flat_buffer Buffer;
+  beast::flat_buffer Buffer{MaxUnparsedBytes};
   std::optional<BodyParser> Parser;
   bool IsHeadRequest = false;
 };
--- a/test/gateway-test.cc
+++ b/test/gateway-test.cc
@@ -8,6 +8,7 @@
 #include "drumlanding/gateway/migration-order.h"
 #include "drumlanding/gateway/peers.h"
 #include "drumlanding/gateway/placement.h"
+#include "drumlanding/gateway/response-memory.h"
 #include "drumlanding/gateway/retry-budget.h"
 #include "drumlanding/gateway/routes.h"
 #include "drumlanding/gateway/run-table.h"
@@ -1393,6 +1394,33 @@
   EXPECT_LE(budget.Excess, 0);
 }
 
+TEST(ResponseMemory, BoundsEachBodyAndAllTogether) {
+  ResponseMemory memory({100'000, 150'000});
+  ResponseMemory::Allocation first(memory);
+  EXPECT_TRUE(first.grow(100'000));
+  EXPECT_FALSE(first.grow(1));
+  {
+    ResponseMemory::Allocation second(memory);
+    EXPECT_TRUE(second.grow(80'000));
+    EXPECT_FALSE(second.grow(20'000));
+    // Small bodies always fit.
+    ResponseMemory::Allocation small(memory);
+    EXPECT_TRUE(small.grow(ResponseMemory::UncountedBytes));
+  }
+  ResponseMemory::Allocation third(memory);
+  EXPECT_TRUE(third.grow(80'000));
+}
+
+TEST(ResponseMemory, IsReleasedWhole) {
+  ResponseMemory memory({100'000, 150'000});
+  for (int i = 0; i < 100; ++i) {
+    ResponseMemory::Allocation body(memory);
+    for (int n = 0; n < 9; ++n)
+      EXPECT_TRUE(body.grow(10'000));
+  }
+  EXPECT_EQ(memory.totalBytes(), 0u);
+}
+
 TEST(Peers, ALastMessageEndsThePeer) {
   Peers peers(Start, {"own", {"10.0.0.1", 9}, 1, {}});
   wire::Gossip message = gossip("10.0.0.2:9");
