gateway: A server that answered after the request was sent may still have ended under it

Found by reading: silence counted against a request only if the server had sent nothing at all since the request was sent, so that a response to another request in the first ms hid the end. It now counts from the server's last response. A quarantined generation is not migrated to another engine.

--- a/src/gateway/migrator.cc
+++ b/src/gateway/migrator.cc
@@ -91,6 +91,9 @@
   if (!source || !source->IsLeaving || !engine || !engine->CanMigrate ||
       run->IsMigrating || run->HasEnded)
     return;
+  // Its next engine would probably end too.
+  if (isQuarantined(run->F))
+    return;
   run->IsMigrating = true;
   asio::co_spawn(Ctx.Io, migrate(run, run->Server), asio::detached);
 }
--- a/src/gateway/suspect-requests.cc
+++ b/src/gateway/suspect-requests.cc
@@ -38,9 +38,8 @@
     return std::nullopt;
   if (f.ReadError == base::ErrorCode::Closed)
     return EndKind::Closed;
-  const bool isSilent =
-      known->LastResponseAt <= f.SentAt && f.Ctx.now() - f.SentAt >= MinSilence;
-  if (isSilent)
+  const base::Instant lastAlive = std::max(known->LastResponseAt, f.SentAt);
+  if (f.Ctx.now() - lastAlive >= MinSilence)
     return EndKind::Silent;
   return std::nullopt;
 }
--- a/test/query-of-death-test.cc
+++ b/test/query-of-death-test.cc
@@ -40,6 +40,8 @@
 /// A refused request is answered this fast.
 constexpr milliseconds MaxRefusalTime{100};
 constexpr std::string_view DeadlyPath = "/deadly";
+/// The request of death on a streaming route: servers end after an event.
+constexpr std::string_view DeadlyStreamPath = "/stream/deadly";
 
 /// What a server does when it gets the request of death.
 enum class EndMode {
@@ -149,9 +151,13 @@
         asio::redirect_error(asio::use_awaitable, ec));
     if (ec || self->IsSilent)
       co_return;
-    const bool isDeadly =
-        request.find(std::string(" ") + std::string(DeadlyPath)) !=
-        std::string::npos;
+    const bool isStream = hasPath(request, DeadlyStreamPath);
+    const bool isDeadly = isStream || hasPath(request, DeadlyPath);
+    if (isStream) {
+      const std::string events = self->makeEvent(request);
+      co_await asio::async_write(*socket, asio::buffer(events),
+                                 asio::redirect_error(asio::use_awaitable, ec));
+    }
     if (isDeadly)
       self->Deadly.Arrivals.push_back(self->Clock.now().Steady);
     co_await sleepFor(isDeadly ? TimeToEnd : ServiceTime);
@@ -172,6 +178,10 @@
     self->hangUp(socket);
   }
 
+  static bool hasPath(const std::string &request, std::string_view path) {
+    return request.find(" " + std::string(path) + " ") != std::string::npos;
+  }
+
   void hangUp(const SocketPointer &socket) {
     error_code ec;
     socket->close(ec);
@@ -200,13 +210,22 @@
       self->OnRestart();
   }
 
-  std::string makeResponse(const std::string &request) const {
+  std::string makeHead(const std::string &request) const {
     constexpr std::string_view Name = "X-Attempt-Id: ";
     const auto from = request.find(Name) + Name.size();
     const std::string attempt =
         request.substr(from, request.find("\r\n", from) - from);
     return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + attempt +
-           "\r\nX-Served-Stamp: " + Id + "\r\nContent-Length: 4\r\n\r\nwell";
+           "\r\nX-Served-Stamp: " + Id + "\r\n";
+  }
+  std::string makeResponse(const std::string &request) const {
+    return makeHead(request) + "Content-Length: 4\r\n\r\nwell";
+  }
+  /// Returns the start of a stream, with one event in a chunk of 15 bytes.
+  std::string makeEvent(const std::string &request) const {
+    return makeHead(request) + "Content-Type: text/event-stream\r\n"
+                               "Transfer-Encoding: chunked\r\n\r\n"
+                               "f\r\nid: 1\ndata: a\n\n\r\n";
   }
 
   tcp::acceptor Acceptor;
@@ -272,6 +291,10 @@
     Service service;
     service.Name = "shop";
     config.Services.push_back(service);
+    route.Name = "stream";
+    route.PathPrefix = "/stream/";
+    route.Kind = RequestKind::Stream;
+    config.Routes.push_back(route);
     return config;
   }
 
@@ -434,11 +457,13 @@
 
   /// A caller that repeats the request of death at once, each time at another
   /// gateway.
-  asio::awaitable<void> repeatDeadly(int tries, std::size_t firstGateway = 0) {
+  asio::awaitable<void>
+  repeatDeadly(int tries, std::size_t firstGateway = 0,
+               std::string path = std::string(DeadlyPath)) {
     ++OpenCallers;
     for (int i = 0; i < tries; ++i) {
-      const int status = co_await call(
-          firstGateway + static_cast<std::size_t>(i), std::string(DeadlyPath));
+      const int status =
+          co_await call(firstGateway + static_cast<std::size_t>(i), path);
       Statuses.push_back(status);
     }
     --OpenCallers;
@@ -540,6 +565,21 @@
   });
 }
 
+/// Guards against a stream that ends server after server, each after its first
+/// event (issue 26, BUDGET).
+TEST_F(QueryOfDeathTest, ARepeatedStreamEndsThreeServersAtMost) {
+  startServers(20);
+  startGateways(5);
+  runTest([&]() -> asio::awaitable<void> {
+    asio::co_spawn(Io, repeatDeadly(8, 0, std::string(DeadlyStreamPath)),
+                   asio::detached);
+    co_await callOrdinaryWhileCallersTry();
+    EXPECT_LE(Deadly.Ends.size(), MaxEndedServers);
+    EXPECT_EQ(Deadly.arrivalsAfterLastAllowedEnd(), 0u);
+    EXPECT_EQ(Statuses.back(), 503);
+  });
+}
+
 /// Guards against a further try that waits, or that is told that it may have
 /// run: no server gets it (issue 26, BUDGET).
 TEST_F(QueryOfDeathTest, AQuarantinedRequestIsRefusedAtOnceAsNotRun) {
