gateway: A proxy that accepts for a server that has ended proves nothing

A server that closed a connection now has to keep the new one open for 20 ms before the evidence is withdrawn.

--- a/src/gateway/suspect-requests.cc
+++ b/src/gateway/suspect-requests.cc
@@ -21,6 +21,8 @@
 constexpr milliseconds TurnCheckInterval{5};
 /// Connecting takes a few ms.
 constexpr milliseconds VerifyTimeout{400};
+/// A refused connection is closed within a round trip.
+constexpr milliseconds KeepTime{20};
 /// A server that has sent nothing to any request for this long may have ended.
 constexpr milliseconds MinSilence{250};
 
@@ -129,6 +131,29 @@
 
 namespace {
 
+/// Reads from a connection on which nothing was sent until it is closed.
+asio::awaitable<void>
+waitUntilClosed(std::shared_ptr<http::Connection> connection,
+                std::shared_ptr<bool> isClosed) {
+  co_await connection->readHead();
+  *isClosed = true;
+}
+
+/// Returns whether a connection to the address is accepted and stays open. A
+/// proxy in front of a server that has ended accepts and closes it.
+asio::awaitable<bool> keepsConnection(GatewayContext &ctx, base::Endpoint to) {
+  auto opened = co_await http::Connection::open(std::move(to), VerifyTimeout);
+  if (!ok(opened))
+    co_return false;
+  const std::shared_ptr<http::Connection> connection = value(opened);
+  const auto isClosed = std::make_shared<bool>(false);
+  asio::co_spawn(ctx.Io, waitUntilClosed(connection, isClosed), asio::detached);
+  co_await daemon::sleepFor(KeepTime);
+  const bool isKept = !*isClosed;
+  connection->close();
+  co_return isKept;
+}
+
 /// Asks a server that closed a connection for a new one. If it accepts, it
 /// has not ended: a process that ends closes its port too.
 asio::awaitable<void> verifyEnd(GatewayContext &ctx, Server server) {
@@ -143,14 +168,10 @@
       break;
   }
   ctx.ClosedAtByServer.erase(id);
-  auto opened =
-      co_await http::Connection::open(server.Listed.Address, VerifyTimeout);
-  const bool isOpen = ok(opened);
-  if (isOpen) {
-    value(opened)->close();
+  const bool isServing = co_await keepsConnection(ctx, server.Listed.Address);
+  if (isServing)
     ctx.Suspects.recordConnection(ctx.now(), {id, server.Listed.StartedAt});
-  }
-  ctx.Log.write("server-end-checked", {{"server", id}, {"accepts", isOpen}});
+  ctx.Log.write("server-end-checked", {{"server", id}, {"accepts", isServing}});
 }
 
 void scheduleVerification(GatewayContext &ctx, const Server &server) {
