gateway: A restarted server is not taken for one that lived on; soak: requests that end servers

The log shows why: while a server was down, each ordinary request to it asked for a new connection, and one that was accepted after the restart withdrew the evidence of the end before it. A connection now speaks only for connections closed 30 to 80 ms before it was accepted. Test: AConnectionAfterARestartProvesNothing (failed before).

The soak sends requests that end each plain server that gets them, twelve tries each, at random gateways, beside all other faults; a request may end three servers, and one for each gateway that was killed, paused or restarted meanwhile. mutants.sh has eight faults more; explain tells why a suspect request was refused.

--- a/include/drumlanding/gateway/quarantine.h
+++ b/include/drumlanding/gateway/quarantine.h
@@ -96,8 +96,10 @@
     Held,
   };
 
-  /// Minimum time in which a server process ends and starts again.
-  static constexpr base::milliseconds MinRestartTime{30};
+  /// A server process that ends has closed its port after the first time, and
+  /// has not started again before the second.
+  static constexpr base::milliseconds MaxExitTime{30};
+  static constexpr base::milliseconds MinRestartTime{80};
 
   explicit Quarantine(base::Random random) : Random(random) {}
 
@@ -116,9 +118,9 @@
   void recordServed(base::Instant now, const RequestFingerprint &fingerprint);
   /// Records a response of a server to any request.
   void recordResponse(base::Instant now, const ServerInstance &server);
-  /// Records that a server accepted a connection. A closed connection was not
-  /// its end unless it has restarted since, which takes MinRestartTime.
-  void recordConnection(base::Instant now, const ServerInstance &server);
+  /// Records that a server accepted a connection. Connections that it closed
+  /// shortly before were not its end: it cannot have restarted since.
+  void recordConnection(base::Instant acceptedAt, const ServerInstance &server);
   /// Withdraws the evidence of closed connections of servers that `hasOutlived`
   /// it.
   void withdrawOutlived(
--- a/src/ctl/explain.cc
+++ b/src/ctl/explain.cc
@@ -63,6 +63,10 @@
     "Each usable backend server of its service had reached the request rate "
     "that it allows.";
 
+constexpr const char *SuspectCause =
+    "Backend servers had ended while they ran this request, at this or another "
+    "gateway: it was not sent to another one.";
+
 const LogLine *findLast(Lines lines, std::string_view event) {
   const LogLine *last = nullptr;
   for (const LogLine &line : lines)
@@ -121,6 +125,8 @@
     return "No backend server of its service was usable.";
   if (how == "request limits")
     return RequestLimitsCause;
+  if (how == "suspect")
+    return SuspectCause;
   if (how == "answered")
     return "Each server that it was sent to reported that it did not run it, "
            "or failed.";
@@ -137,10 +143,14 @@
     return "No route in the config that the gateway had matches its host and "
            "path.";
   case 502:
+    if (end.text("why") == "suspect")
+      return SuspectCause;
     return "It was sent and no complete response arrived: it may have run.";
   case 503:
     if (end.text("why") == "request limits")
       return RequestLimitsCause;
+    if (end.text("why") == "suspect")
+      return SuspectCause;
     return end.text("why") == "not admitted"
                ? "The gateway had no config, or was stopping."
                : "No server accepted it, and it did not run.";
--- a/src/gateway/quarantine.cc
+++ b/src/gateway/quarantine.cc
@@ -177,11 +177,12 @@
   });
 }
 
-void Quarantine::recordConnection(base::Instant now,
+void Quarantine::recordConnection(base::Instant acceptedAt,
                                   const ServerInstance &server) {
-  withdraw(now, [&](const End &end) {
+  withdraw(acceptedAt, [&](const End &end) {
+    const base::Duration age = acceptedAt - end.ObservedAt;
     return end.Kind == EndKind::Closed && isSameLife(end.Server, server) &&
-           now - end.ObservedAt >= MinRestartTime;
+           age >= MaxExitTime && age < MinRestartTime;
   });
 }
 
--- a/src/gateway/suspect-requests.cc
+++ b/src/gateway/suspect-requests.cc
@@ -139,39 +139,44 @@
   *isClosed = true;
 }
 
-/// Returns whether a connection to the address is accepted and stays open. A
-/// proxy in front of a server that has ended accepts and closes it.
-asio::awaitable<bool> keepsConnection(GatewayContext &ctx, base::Endpoint to) {
+/// Returns when the address accepted a connection that stays open. A proxy in
+/// front of a server that has ended accepts and closes it.
+asio::awaitable<std::optional<base::Instant>>
+keptConnectionTime(GatewayContext &ctx, base::Endpoint to) {
   auto opened = co_await http::Connection::open(std::move(to), VerifyTimeout);
   if (!ok(opened))
-    co_return false;
+    co_return std::nullopt;
+  const base::Instant openedAt = ctx.now();
   const std::shared_ptr<http::Connection> connection = value(opened);
   const auto isClosed = std::make_shared<bool>(false);
   asio::co_spawn(ctx.Io, waitUntilClosed(connection, isClosed), asio::detached);
   co_await daemon::sleepFor(KeepTime);
   const bool isKept = !*isClosed;
   connection->close();
-  co_return isKept;
+  if (!isKept)
+    co_return std::nullopt;
+  co_return openedAt;
 }
 
 /// Asks a server that closed a connection for a new one. If it accepts, it
-/// has not ended: a process that ends closes its port too.
+/// has not ended: a process that ends closes its port too. Asks again if the
+/// server has closed further connections meanwhile.
 asio::awaitable<void> verifyEnd(GatewayContext &ctx, Server server) {
   const std::string id = server.Listed.Id;
-  for (;;) {
-    const base::Instant closedAt = ctx.ClosedAtByServer[id];
+  base::Instant closedAt{};
+  while (ctx.ClosedAtByServer[id] != closedAt) {
+    closedAt = ctx.ClosedAtByServer[id];
     const base::Duration age = ctx.now() - closedAt;
-    if (age < Quarantine::MinRestartTime)
-      co_await daemon::sleepFor(
-          std::chrono::ceil<milliseconds>(Quarantine::MinRestartTime - age));
-    if (ctx.ClosedAtByServer[id] == closedAt)
-      break;
+    if (age < Quarantine::MaxExitTime)
+      co_await daemon::sleepFor(Quarantine::MaxExitTime - age);
+    const auto openedAt =
+        co_await keptConnectionTime(ctx, server.Listed.Address);
+    if (openedAt)
+      ctx.Suspects.recordConnection(*openedAt, {id, server.Listed.StartedAt});
+    ctx.Log.write("server-end-checked",
+                  {{"server", id}, {"accepts", openedAt.has_value()}});
   }
   ctx.ClosedAtByServer.erase(id);
-  const bool isServing = co_await keepsConnection(ctx, server.Listed.Address);
-  if (isServing)
-    ctx.Suspects.recordConnection(ctx.now(), {id, server.Listed.StartedAt});
-  ctx.Log.write("server-end-checked", {{"server", id}, {"accepts", isServing}});
 }
 
 void scheduleVerification(GatewayContext &ctx, const Server &server) {
--- a/support/mutants.sh
+++ b/support/mutants.sh
@@ -16,7 +16,7 @@
   shift 2
 fi
 UNITS=(gateway-test platform-test sidecar-test forwarding-test store-session-test
-  request-limit-test)
+  request-limit-test quarantine-test query-of-death-test endless-response-test)
 PROGRAMS=(drumlanding-gateway drumlanding-sidecar fake-platform soak)
 SOAK_SEED=501
 
@@ -46,6 +46,14 @@
 silent-gateways-forgotten|src/gateway/request-limits.cc|s/std::clamp\(AvailableShare\(now\), MinShare, 1\.0\)/1.0 + 0 * MinShare/
 limit-never-ends|src/gateway/request-limits.cc|s/  if \(!seen\.RequestsPerSecond\) \{/  if (!seen.RequestsPerSecond) {\n    return;/
 migration-not-counted|src/gateway/migrator.cc|s/    countTowardsLimit\(Ctx, to\.Listed\.Id\);\n//
+quarantine-ignored|src/gateway/quarantine.cc|s/if \(ends >= MaxEndedServers\)/if (ends > 1000)/
+ends-not-reported|src/gateway/gossip.cc|s/\*message\.add_suspects\(\) = toWire\(report\);/(void)report;/g
+claims-ignored|src/gateway/suspect-requests.cc|s/if \(holdsClaim\(f, now\)\)/if (true)/
+restart-taken-for-survival|src/gateway/quarantine.cc|s/ && age < MinRestartTime//
+served-request-not-cleared|src/gateway/quarantine.cc|s/  it->second\.ClearedAt = now;\n  markChanged\(now, \*it, "requests"\);//
+closed-connection-not-verified|src/gateway/suspect-requests.cc|s/  if \(\*kind == EndKind::Closed\)\n    scheduleVerification\(f\.Ctx, server\);\n/  (void)scheduleVerification;\n/
+isolated-share-forgotten|src/gateway/peers.cc|s/SharedBudgetTimeout\{300\}/SharedBudgetTimeout{15}/
+body-without-limit|src/gateway/forwarded-request.cc|s/if \(!memory\.grow\(value\(piece\)\.size\(\)\)\)/if (!memory.grow(0))/
 LIST
 )
 
--- a/test/quarantine-test.cc
+++ b/test/quarantine-test.cc
@@ -80,7 +80,7 @@
   // The port may still be open while the process ends.
   Q.recordConnection(Start + milliseconds(5), server(1));
   EXPECT_FALSE(Q.reports(Start).at(0).Ends.at(0).IsWithdrawn);
-  const base::Instant later = Start + Quarantine::MinRestartTime;
+  const base::Instant later = Start + Quarantine::MaxExitTime;
   Q.recordConnection(later, server(1));
   // A process that hangs accepts connections.
   Q.recordConnection(later, server(2));
@@ -88,12 +88,21 @@
   EXPECT_FALSE(Q.reports(Start).at(0).Ends.at(1).IsWithdrawn);
 }
 
-TEST_F(QuarantineTest, ADifferentLifeProvesNothing) {
+/// Guards against a server that has ended and started again, and is taken for
+/// one that lived on (soak, seeds 503 and 504).
+TEST_F(QuarantineTest, AConnectionAfterARestartProvesNothing) {
   end(Start, 1);
-  Q.recordConnection(Start + seconds(1), server(1, 2));
+  Q.recordConnection(Start + Quarantine::MinRestartTime, server(1));
   EXPECT_EQ(Q.state(Start + seconds(1), Deadly), State::Suspect);
 }
 
+TEST_F(QuarantineTest, ADifferentLifeProvesNothing) {
+  end(Start, 1);
+  const base::Instant later = Start + Quarantine::MaxExitTime;
+  Q.recordConnection(later, server(1, 2));
+  EXPECT_EQ(Q.state(later, Deadly), State::Suspect);
+}
+
 TEST_F(QuarantineTest, AServerThatOutlivesTheEvidenceIsNotEnded) {
   endThree(Start);
   Q.withdrawOutlived(Start + seconds(6),
--- a/test/soak/callers.cc
+++ b/test/soak/callers.cc
@@ -17,6 +17,8 @@
 /// A complete response may arrive this long after the route's timeout.
 constexpr milliseconds ResponseSlack{1'500};
 constexpr milliseconds MaxPause{60};
+/// A server that has ended is back meanwhile at times.
+constexpr milliseconds MaxDeadlyPause{300};
 /// A config takes effect on every gateway within this time.
 constexpr milliseconds ConfigPropagationTime{2'000};
 constexpr int MaxShortStreamEvents = 60;
@@ -57,12 +59,34 @@
   --ActiveCallers;
 }
 
-RequestRecord Callers::nextRequest() {
+RequestRecord Callers::newRecord() {
   RequestRecord record;
   record.Attempt = fmt::format("{:016x}", ++NextAttempt);
+  record.RequestBody = "body of " + record.Attempt;
   record.Target = &Gateways.chooseReady(Random);
   record.InstanceNumber = record.Target->Process->InstanceNumber;
   record.Key = ConfigWriter::baseKey();
+  return record;
+}
+
+asio::awaitable<void> Callers::repeatDeadlyRequest() {
+  constexpr int Tries = 12;
+  const std::string path =
+      fmt::format("{}{}", Journal::DeadlyPath, ++DeadlyRequests);
+  for (int i = 0; i < Tries; ++i) {
+    RequestRecord record = newRecord();
+    record.Path = path;
+    record.RequestBody = "deadly";
+    std::shared_ptr<http::Connection> connection;
+    co_await sendRequest(record, connection);
+    checkResponse(record);
+    co_await sleepFor(milliseconds(
+        Random.below(static_cast<std::uint64_t>(MaxDeadlyPause.count()))));
+  }
+}
+
+RequestRecord Callers::nextRequest() {
+  RequestRecord record = newRecord();
   const double kind = Random.unit();
   if (kind < 0.3) {
     record.IsStream = true;
@@ -117,7 +141,7 @@
 
 asio::awaitable<void> Callers::readResponse(RequestRecord &record,
                                             http::Connection &connection) {
-  http::Request request{"POST", record.Path, {}, "body of " + record.Attempt};
+  http::Request request{"POST", record.Path, {}, record.RequestBody};
   request.Headers = {
       {"Host", std::string(ConfigWriter::Host)},
       {"X-Attempt-Id", record.Attempt},
--- a/test/soak/callers.h
+++ b/test/soak/callers.h
@@ -27,6 +27,7 @@
 struct RequestRecord {
   std::string Attempt;
   std::string Path;
+  std::string RequestBody;
   std::string Key;
   int KeySerial = 0;
   bool IsStream = false;
@@ -52,6 +53,9 @@
         Random(seed) {}
 
   void start(int callers);
+  /// Sends a request that ends each server that gets it, several times, with a
+  /// new attempt id each and mostly to another gateway.
+  asio::awaitable<void> repeatDeadlyRequest();
   /// Makes each caller stop after its current request.
   void stop() { IsStopping = true; }
   const CallerCounts &counts() const { return Counts; }
@@ -59,6 +63,7 @@
 
 private:
   asio::awaitable<void> callLoop();
+  RequestRecord newRecord();
   RequestRecord nextRequest();
   asio::awaitable<void>
   sendRequest(RequestRecord &record,
@@ -81,6 +86,7 @@
   bool IsStopping = false;
   int ActiveCallers = 0;
   std::uint64_t NextAttempt = 0;
+  int DeadlyRequests = 0;
 };
 
 } // namespace drumlanding::soak
--- a/test/soak/fake-servers.cc
+++ b/test/soak/fake-servers.cc
@@ -270,6 +270,16 @@
   --OpenRequests;
 }
 
+asio::awaitable<void> FakeServer::endUnder(std::string path) {
+  const int instance = InstanceNumber;
+  co_await sleepFor(CallDuration / 2);
+  if (instance != InstanceNumber)
+    co_return;
+  Log.recordServerEnd(path, Id, Opts.Gateways);
+  const auto downFor = milliseconds(100 + Random.below(900));
+  asio::co_spawn(Io, crash(downFor), asio::detached);
+}
+
 asio::awaitable<void> FakeServer::call(http::Request request,
                                        http::Exchange &x) {
   const int instance = InstanceNumber;
@@ -278,6 +288,10 @@
   if (LeavingSince != base::Instant::max())
     Log.recordStartAfterLeaving(attempt, Id, LeavingSince);
   Log.recordStart(attempt, Id, isIdempotent);
+  if (request.path().starts_with(Journal::DeadlyPath)) {
+    co_await endUnder(std::string(request.path()));
+    co_return;
+  }
   co_await sleepFor(CallDuration);
   const double chance = Random.unit();
   if (instance != InstanceNumber ||
--- a/test/soak/fake-servers.h
+++ b/test/soak/fake-servers.h
@@ -93,6 +93,7 @@
 private:
   asio::awaitable<void> serve(http::Request request, http::Exchange &x);
   asio::awaitable<void> call(http::Request request, http::Exchange &x);
+  asio::awaitable<void> endUnder(std::string path);
   asio::awaitable<void> stream(http::Request request, http::Exchange &x);
   asio::awaitable<void> migrate(http::Request request, http::Exchange &x);
   asio::awaitable<void> report(http::Exchange &x);
--- a/test/soak/fault-injector.h
+++ b/test/soak/fault-injector.h
@@ -35,6 +35,9 @@
   FaultInjector(asio::io_context &io, Journal &journal, Deployment &deployment,
                 ConfigWriter &configs, std::uint64_t seed);
 
+  /// Sends a request that ends servers, several times.
+  std::function<asio::awaitable<void>()> RepeatDeadlyRequest;
+
   /// Injects faults until `until`, and ends with a quiet phase.
   asio::awaitable<void> run(base::Instant until);
 
--- a/test/soak/journal.cc
+++ b/test/soak/journal.cc
@@ -45,6 +45,19 @@
   return count;
 }
 
+void Journal::recordServerEnd(const std::string &path,
+                              const std::string &server, int gateways) {
+  constexpr std::size_t MaxEnds = 3;
+  std::vector<base::Instant> &ends = ServerEnds[path];
+  ends.push_back(now());
+  const int returned =
+      gatewayFaults(ends.front() - RecoveryTime, ends.back(), gateways);
+  if (ends.size() > MaxEnds + static_cast<std::size_t>(returned))
+    recordViolation("a request ends three servers at most",
+                    path + " ended " + std::to_string(ends.size()) +
+                        ", the last one " + server);
+}
+
 void Journal::recordStart(const std::string &attempt, const std::string &server,
                           bool isIdempotent) {
   std::vector<Execution> &executions = Executions[attempt];
--- a/test/soak/journal.h
+++ b/test/soak/journal.h
@@ -28,6 +28,9 @@
   /// Gateways have recovered when this time has passed since the last fault.
   static constexpr base::milliseconds RecoveryTime{3'000};
 
+  /// Requests with this prefix of the path end each server that gets them.
+  static constexpr std::string_view DeadlyPath = "/often/deadly-";
+
   static base::Instant now() { return base::SystemClock().now().Steady; }
 
   /// Records a fault that is active from now on, and returns its number.
@@ -45,6 +48,11 @@
   /// Records that a server starts to work on an attempt.
   void recordStart(const std::string &attempt, const std::string &server,
                    bool isIdempotent);
+  /// Records that a request ended a server, and reports a violation if it has
+  /// ended more than three, and one for each gateway that was killed, paused
+  /// or restarted meanwhile.
+  void recordServerEnd(const std::string &path, const std::string &server,
+                       int gateways);
   /// Records that a caller received a response that states that the attempt did
   /// not run and never will.
   void recordNotRun(const std::string &attempt);
@@ -81,6 +89,8 @@
   std::vector<Fault> Faults;
   std::map<std::string, std::vector<Execution>> Executions;
   std::map<std::string, base::Instant> ReportedNotRun;
+  /// Times of the servers' ends by the path of the request.
+  std::map<std::string, std::vector<base::Instant>> ServerEnds;
   std::size_t Violations = 0;
 };
 
--- a/test/soak/main.cc
+++ b/test/soak/main.cc
@@ -202,6 +202,7 @@
         milliseconds(static_cast<std::int64_t>(FLAGS_seconds * 1'000));
     FaultInjector faults(Io, Log, System, Configs, FLAGS_seed);
     Callers callers(Io, Log, Configs, System.Gateways, FLAGS_seed + 1);
+    faults.RepeatDeadlyRequest = [&] { return callers.repeatDeadlyRequest(); };
     callers.start(FLAGS_callers);
     co_await faults.run(Journal::now() + duration);
     callers.stop();
