--- a/tools/decision-bench.cc
+++ b/tools/decision-bench.cc
@@ -1,7 +1,8 @@
-// decision-bench: measures the CPU time of admission, token accounting and
-// routing at two sizes each (Google Benchmark).
+// decision-bench: measures the CPU time of admission, token accounting, routing
+// and the quarantine at two sizes each (Google Benchmark).
 #include "drumlanding/agent/scheduler.h"
 #include "drumlanding/entry/router.h"
+#include "drumlanding/gateway/quarantine.h"
 
 #include <benchmark/benchmark.h>
 
@@ -73,6 +74,48 @@
 }
 BENCHMARK(route)->Arg(120)->Arg(1'200);
 
+/// Computes the fingerprint of a request with a body of `n` bytes.
+void fingerprint(benchmark::State &state) {
+  gateway::CallerRequest request;
+  request.Http.Method = "POST";
+  request.Http.Target = "/generations/7f";
+  request.Http.Body.assign(static_cast<std::size_t>(state.range(0)), 'x');
+  for (auto _ : state)
+    benchmark::DoNotOptimize(gateway::makeFingerprint(request, "tutors"));
+}
+BENCHMARK(fingerprint)->Arg(800)->Arg(6'000);
+
+gateway::Quarantine makeSuspects(benchmark::State &state, base::Instant now) {
+  gateway::Quarantine q(base::Random(1));
+  for (std::int64_t i = 0; i < state.range(0); ++i) {
+    gateway::UnansweredRequest unanswered;
+    unanswered.Fingerprint.Digest = {static_cast<std::uint8_t>(i),
+                                     static_cast<std::uint8_t>(i >> 8)};
+    unanswered.Server = {"s" + std::to_string(i), 1ms};
+    q.recordEnd(now, unanswered);
+  }
+  return q;
+}
+
+/// Looks up a request among `n` suspects.
+void suspectLookup(benchmark::State &state) {
+  const base::Instant now(1h);
+  const gateway::Quarantine q = makeSuspects(state, now);
+  const gateway::RequestFingerprint unknown;
+  for (auto _ : state)
+    benchmark::DoNotOptimize(q.state(now, unknown));
+}
+BENCHMARK(suspectLookup)->Arg(32)->Arg(1'024);
+
+/// Makes the reports for the other gateways with `n` suspects.
+void suspectReports(benchmark::State &state) {
+  const base::Instant now(1h);
+  const gateway::Quarantine q = makeSuspects(state, now);
+  for (auto _ : state)
+    benchmark::DoNotOptimize(q.reports(now));
+}
+BENCHMARK(suspectReports)->Arg(32)->Arg(1'024);
+
 } // namespace
 
 BENCHMARK_MAIN();
