--- a/test/explain-test.cc
+++ b/test/explain-test.cc
@@ -54,6 +54,19 @@
             "s1 closed the connection without notice (no head).");
 }
 
+TEST(Explain, ARefusedSuspect) {
+  const char *cause = "Backend servers had ended while they ran this request, "
+                      "at this or another gateway: it was not sent to another "
+                      "one.";
+  const auto call = parseAll(
+      {R"({"time_ms":1000,"process":"g1","event":"suspect-refused","request":"r","why":"quarantined"})",
+       R"({"time_ms":1000,"process":"g1","event":"request-ended","request":"r","status":503,"why":"suspect","sends":0})"});
+  EXPECT_EQ(causeOf(call, "r"), cause);
+  const auto stream = parseAll(
+      {R"({"time_ms":1000,"process":"g1","event":"stream-ended","request":"r","how":"suspect"})"});
+  EXPECT_EQ(causeOf(stream, "r"), cause);
+}
+
 TEST(Explain, GatewayCrashedOrStopped) {
   const std::string placed =
       R"({"time_ms":1000,"process":"g1","event":"placed","request":"r","server":"s1"})";
