--- a/include/drumlanding/gateway/quarantine.h
+++ b/include/drumlanding/gateway/quarantine.h
@@ -25,6 +25,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -207,12 +208,17 @@
   /// Returns the lowest rank of the other gateways' claims.
   std::optional<std::uint64_t>
   bestPeerRank(base::Instant now, const RequestFingerprint &fingerprint) const;
+  void addEnd(Suspect &suspect, End end);
+  void indexSilentServers();
   void evictExcess(base::Instant now);
 
   /// The messages that still have to follow the latest change.
   int MessagesLeft = 0;
   base::Random Random;
   SuspectMap Suspects;
+  /// Ids of the servers with a silent end, so that a response of any other
+  /// server costs one look-up.
+  std::set<std::string, std::less<>> SilentServers;
   std::map<RequestFingerprint, OwnClaim> Claims;
   std::map<std::string, PeerClaims> ClaimsByPeer;
 };
--- a/src/gateway/quarantine.cc
+++ b/src/gateway/quarantine.cc
@@ -130,7 +130,7 @@
   }
   if (end.Occurrence >= MaxOccurrences || suspect.Ends.size() >= MaxEnds)
     return;
-  suspect.Ends.push_back(std::move(end));
+  addEnd(suspect, std::move(end));
   markChanged(now, *it, "requests");
   evictExcess(now);
 }
@@ -169,8 +169,24 @@
   }
 }
 
+void Quarantine::addEnd(Suspect &suspect, End end) {
+  if (end.Kind == EndKind::Silent && !end.IsWithdrawn)
+    SilentServers.insert(end.Server.Id);
+  suspect.Ends.push_back(std::move(end));
+}
+
+void Quarantine::indexSilentServers() {
+  SilentServers.clear();
+  for (const auto &[fingerprint, suspect] : Suspects)
+    for (const End &end : suspect.Ends)
+      if (end.Kind == EndKind::Silent && !end.IsWithdrawn)
+        SilentServers.insert(end.Server.Id);
+}
+
 void Quarantine::recordResponse(base::Instant now,
                                 const ServerInstance &server) {
+  if (!SilentServers.contains(server.Id))
+    return;
   withdraw(now, [&](const End &end) {
     return end.Kind == EndKind::Silent && isSameLife(end.Server, server) &&
            now - end.ObservedAt >= SurvivalMargin;
@@ -336,8 +352,8 @@
     if (known != suspect.Ends.end())
       known->IsWithdrawn |= end.IsWithdrawn;
     else if (suspect.Ends.size() < MaxEnds)
-      suspect.Ends.push_back({end.Server, end.Occurrence, end.Kind,
-                              now - end.Age, end.IsWithdrawn});
+      addEnd(suspect, {end.Server, end.Occurrence, end.Kind, now - end.Age,
+                       end.IsWithdrawn});
   }
   reportState(now, *it, from);
   evictExcess(now);
@@ -374,6 +390,7 @@
       latest = std::max(latest, end.ObservedAt);
     return now - latest >= ClearedRetention;
   });
+  indexSilentServers();
 }
 
 std::size_t Quarantine::count(base::Instant now, State state) const {
