gateway: Drop ends that no longer count, so that new ones are recorded

By reading: a request that was cleared sixteen times, such as a hot one on servers that crash now and then, had no room for further ends and could not be quarantined any more (ARequestThatWasClearedOftenCanBeQuarantined).

--- a/include/drumlanding/gateway/quarantine.h
+++ b/include/drumlanding/gateway/quarantine.h
@@ -208,6 +208,7 @@
   /// Returns the lowest rank of the other gateways' claims.
   std::optional<std::uint64_t>
   bestPeerRank(base::Instant now, const RequestFingerprint &fingerprint) const;
+  static void dropOldestInvalidEnd(base::Instant now, Suspect &suspect);
   void addEnd(Suspect &suspect, End end);
   void indexSilentServers();
   void evictExcess(base::Instant now);
--- a/src/gateway/forwarded-request.cc
+++ b/src/gateway/forwarded-request.cc
@@ -184,7 +184,7 @@
     }
     ServerResponse answer =
         f.Ctx.Codec.DecodeResponseHead(f.Request, value(head));
-    recordSignOfLife(f.Ctx, {server.Listed.Id, server.Listed.StartedAt});
+    recordServerResponse(f.Ctx, {server.Listed.Id, server.Listed.StartedAt});
     if (answer.MatchesAttempt || answer.HasNotRun) {
       recordLimit(f, server, answer);
       co_return answer;
--- a/src/gateway/quarantine.cc
+++ b/src/gateway/quarantine.cc
@@ -16,8 +16,7 @@
 constexpr base::milliseconds ClaimTimeout{1'500};
 /// Ends of one server that are counted separately, at most.
 constexpr std::uint32_t MaxOccurrences = Quarantine::MaxEndedServers;
-/// Ends kept for one request. More than this are reported only if gateways do
-/// not hear each other.
+/// Ends kept for one request, those that do not count included.
 constexpr std::size_t MaxEnds = 16;
 constexpr std::uint64_t BestRank = 0;
 /// Messages to the other gateways that carry a change, in case one is lost.
@@ -128,6 +127,8 @@
     // The server took the request after its end: it has restarted.
     end.Occurrence = std::max(end.Occurrence, known.Occurrence + 1);
   }
+  if (suspect.Ends.size() >= MaxEnds)
+    dropOldestInvalidEnd(now, suspect);
   if (end.Occurrence >= MaxOccurrences || suspect.Ends.size() >= MaxEnds)
     return;
   addEnd(suspect, std::move(end));
@@ -169,6 +170,14 @@
   }
 }
 
+void Quarantine::dropOldestInvalidEnd(base::Instant now, Suspect &suspect) {
+  const auto it =
+      std::find_if(suspect.Ends.begin(), suspect.Ends.end(),
+                   [&](const End &end) { return !counts(now, suspect, end); });
+  if (it != suspect.Ends.end())
+    suspect.Ends.erase(it);
+}
+
 void Quarantine::addEnd(Suspect &suspect, End end) {
   if (end.Kind == EndKind::Silent && !end.IsWithdrawn)
     SilentServers.insert(end.Server.Id);
@@ -379,8 +388,13 @@
   std::erase_if(ClaimsByPeer, [&](const auto &entry) {
     return now - entry.second.HeardAt >= ClaimTimeout;
   });
-  for (auto &entry : Suspects)
+  for (auto &entry : Suspects) {
     reportState(now, entry, "expiry");
+    std::erase_if(entry.second.Ends, [&](const End &end) {
+      return !counts(now, entry.second, end) &&
+             now - end.ObservedAt >= ClearedRetention;
+    });
+  }
   std::erase_if(Suspects, [&](const auto &entry) {
     const Suspect &suspect = entry.second;
     if (endCount(now, suspect) > 0)
--- a/src/gateway/stream-forwarder.cc
+++ b/src/gateway/stream-forwarder.cc
@@ -222,7 +222,7 @@
   for (;;) {
     auto piece = co_await F.Connection->read();
     if (ok(piece) && !value(piece).empty()) {
-      recordSignOfLife(Ctx, RunningOn);
+      recordServerResponse(Ctx, RunningOn);
       std::string events = Run->Events.feed(value(piece));
       if (!co_await sendToCaller(std::move(events))) {
         logStreamEnd("caller left");
--- a/src/gateway/suspect-requests.cc
+++ b/src/gateway/suspect-requests.cc
@@ -211,7 +211,7 @@
     f.Ctx.Suspects.recordServed(f.Ctx.now(), f.fingerprint());
 }
 
-void recordSignOfLife(GatewayContext &ctx, const ServerInstance &server) {
+void recordServerResponse(GatewayContext &ctx, const ServerInstance &server) {
   const base::Instant now = ctx.now();
   ctx.Servers.recordResponse(now, server.Id);
   if (!ctx.Suspects.isEmpty())
--- a/src/gateway/suspect-requests.h
+++ b/src/gateway/suspect-requests.h
@@ -30,7 +30,7 @@
 /// Records that a server completed the request.
 void recordCompleted(ForwardedRequest &f);
 /// Records that part of a response has arrived from a server.
-void recordSignOfLife(GatewayContext &ctx, const ServerInstance &server);
+void recordServerResponse(GatewayContext &ctx, const ServerInstance &server);
 
 /// Serves the list of suspect requests, and their release by DELETE.
 /// `subpath` is the rest of the path: empty, or a slash and a fingerprint.
--- a/test/quarantine-test.cc
+++ b/test/quarantine-test.cc
@@ -152,6 +152,22 @@
   EXPECT_EQ(Q.state(Start + seconds(1), Deadly), State::Clear);
 }
 
+/// Guards against a request that was cleared so often that no further end is
+/// recorded.
+TEST_F(QuarantineTest, ARequestThatWasClearedOftenCanBeQuarantined) {
+  base::Instant at = Start;
+  for (int n = 0; n < 100; ++n) {
+    at += milliseconds(100);
+    end(at, n);
+    Q.recordServed(at + milliseconds(1), Deadly);
+  }
+  endThree(at + seconds(1));
+  EXPECT_EQ(Q.state(at + seconds(1), Deadly), State::Quarantined);
+  // What does not count is dropped in time.
+  Q.evict(at + seconds(60));
+  EXPECT_EQ(Q.reports(at + seconds(60)).at(0).Ends.size(), 3u);
+}
+
 TEST_F(QuarantineTest, ServersThatEndAfterAClearanceCountAnew) {
   endThree(Start);
   Q.recordServed(Start + seconds(1), Deadly);
