gateway: An accepted connection does not prove that a server lives on

What callers saw (test, stand-ins): where the port of a server outlives its connections by 100 or 500 ms, as under a supervisor or in a slow exit, one caller with twelve tries ended all 20 servers, and ordinary requests failed with them.

Cause: a server that closed a connection was asked for a new one, and the connection, which the kernel accepts, withdrew the evidence.

Change: the server is asked for something that only its process can answer, 30 ms or more after it closed the connection: engines for their report, plain servers for their health. A response with the start time of the listed life withdraws the evidence at any time, one without a start time only within 80 ms, in which it cannot have restarted.

Ruled out: to wait until the port is closed (a port under a supervisor never is), and to count ordinary responses (they do not tell which life responded).

--- a/include/drumlanding/gateway/protocol-codec.h
+++ b/include/drumlanding/gateway/protocol-codec.h
@@ -95,6 +95,14 @@
   std::uint64_t TotalTokens = 0;
 };
 
+/// A server's response to a health check.
+struct ServerHealth {
+  /// Empty when the server is unhealthy.
+  std::string Id;
+  /// Start time as Unix time; 0 when unknown.
+  base::milliseconds StartedAt{0};
+};
+
 /// Request to copy a running generation's KV cache to another server.
 struct CopyRequest {
   std::string AttemptId;
@@ -136,8 +144,7 @@
   std::function<base::Result<ServerReport>(const http::Response &)>
       DecodeReport;
   std::function<http::Request()> EncodeHealthRequest;
-  /// Returns the server's id from a health response; empty when unhealthy.
-  std::function<std::string(const http::Response &)> DecodeHealth;
+  std::function<ServerHealth(const http::Response &)> DecodeHealth;
   /// Path of the readiness check for load balancers.
   std::string ReadyPath;
 };
--- a/include/drumlanding/gateway/quarantine.h
+++ b/include/drumlanding/gateway/quarantine.h
@@ -48,6 +48,14 @@
   EndKind Kind = EndKind::Closed;
 };
 
+/// A server's response to a request that was sent to verify its end.
+struct VerificationResponse {
+  /// The start time is 0 if the response does not tell it.
+  ServerInstance Server;
+  base::Instant RequestedAt{};
+  base::Instant ReceivedAt{};
+};
+
 /// The end of a server under a request, as one gateway reports it to another.
 struct EndReport {
   ServerInstance Server;
@@ -97,8 +105,8 @@
     Held,
   };
 
-  /// A server process that ends has closed its port after the first time, and
-  /// has not started again before the second.
+  /// A server process that ends responds to nothing that is sent after the
+  /// first time, and has not started again before the second.
   static constexpr base::milliseconds MaxExitTime{30};
   static constexpr base::milliseconds MinRestartTime{80};
 
@@ -119,9 +127,10 @@
   void recordServed(base::Instant now, const RequestFingerprint &fingerprint);
   /// Records a response of a server to any request.
   void recordResponse(base::Instant now, const ServerInstance &server);
-  /// Records that a server accepted a connection. Connections that it closed
-  /// shortly before were not its end: it cannot have restarted since.
-  void recordConnection(base::Instant acceptedAt, const ServerInstance &server);
+  /// Records that a server has responded after it closed connections. That was
+  /// not its end, unless it has restarted since: its start time tells, or a
+  /// response so early that it cannot have.
+  void recordVerification(const VerificationResponse &response);
   /// Withdraws the evidence of closed connections of servers that `hasOutlived`
   /// it.
   void withdrawOutlived(
--- a/src/gateway/gateway-context.h
+++ b/src/gateway/gateway-context.h
@@ -83,8 +83,8 @@
   RequestLimits Limits{base::Random(base::secureRandom64()).unit()};
   /// Requests under which servers have ended.
   Quarantine Suspects{base::Random(base::secureRandom64())};
-  /// Servers that are about to be asked for a connection, and the latest time
-  /// at which they closed one without a response.
+  /// Servers whose end is being verified, and the latest time at which they
+  /// closed a connection without a response.
   std::map<std::string, base::Instant> ClosedAtByServer;
   Placement Placer;
   RetryBudget Budget;
--- a/src/gateway/quarantine.cc
+++ b/src/gateway/quarantine.cc
@@ -22,11 +22,15 @@
 /// Messages to the other gateways that carry a change, in case one is lost.
 constexpr int SendsPerChange = 2;
 
+bool areStartTimesKnown(const ServerInstance &a, const ServerInstance &b) {
+  constexpr base::milliseconds Unknown{0};
+  return a.StartedAt != Unknown && b.StartedAt != Unknown;
+}
+
 /// Returns true unless the start times show that these are different lives.
 bool isSameLife(const ServerInstance &a, const ServerInstance &b) {
-  constexpr base::milliseconds Unknown{0};
-  return a.Id == b.Id && (a.StartedAt == b.StartedAt ||
-                          a.StartedAt == Unknown || b.StartedAt == Unknown);
+  return a.Id == b.Id &&
+         (a.StartedAt == b.StartedAt || !areStartTimesKnown(a, b));
 }
 
 std::string_view eventFor(Quarantine::State state) {
@@ -202,12 +206,14 @@
   });
 }
 
-void Quarantine::recordConnection(base::Instant acceptedAt,
-                                  const ServerInstance &server) {
-  withdraw(acceptedAt, [&](const End &end) {
-    const base::Duration age = acceptedAt - end.ObservedAt;
-    return end.Kind == EndKind::Closed && isSameLife(end.Server, server) &&
-           age >= MaxExitTime && age < MinRestartTime;
+void Quarantine::recordVerification(const VerificationResponse &response) {
+  withdraw(response.ReceivedAt, [&](const End &end) {
+    if (end.Kind != EndKind::Closed || end.Server.Id != response.Server.Id ||
+        response.RequestedAt - end.ObservedAt < MaxExitTime)
+      return false;
+    if (areStartTimesKnown(end.Server, response.Server))
+      return end.Server == response.Server;
+    return response.ReceivedAt - end.ObservedAt < MinRestartTime;
   });
 }
 
--- a/src/gateway/suspect-requests.cc
+++ b/src/gateway/suspect-requests.cc
@@ -19,10 +19,8 @@
 /// times as long as most plain calls take.
 constexpr milliseconds MaxTurnWait{250};
 constexpr milliseconds TurnCheckInterval{5};
-/// Connecting takes a few ms.
+/// Connecting and the response take a few ms.
 constexpr milliseconds VerifyTimeout{400};
-/// A refused connection is closed within a round trip.
-constexpr milliseconds KeepTime{20};
 /// A server that has sent nothing to any request for this long may have ended.
 constexpr milliseconds MinSilence{250};
 
@@ -131,36 +129,40 @@
 
 namespace {
 
-/// Reads from a connection on which nothing was sent until it is closed.
-asio::awaitable<void>
-waitUntilClosed(std::shared_ptr<http::Connection> connection,
-                std::shared_ptr<bool> isClosed) {
-  co_await connection->readHead();
-  *isClosed = true;
-}
-
-/// Returns when the address accepted a connection that stays open. A proxy in
-/// front of a server that has ended accepts and closes it.
-asio::awaitable<std::optional<base::Instant>>
-keptConnectionTime(GatewayContext &ctx, base::Endpoint to) {
-  auto opened = co_await http::Connection::open(std::move(to), VerifyTimeout);
-  if (!ok(opened))
+/// Asks a server for its start time. Returns none if it does not respond: a
+/// port that accepts connections may outlive its server.
+asio::awaitable<std::optional<VerificationResponse>>
+requestVerification(GatewayContext &ctx, Server server) {
+  const Service *service =
+      ctx.Routes ? ctx.Routes->config().service(server.Listed.Service)
+                 : nullptr;
+  const bool isEngine = service && service->Engine;
+  http::Request request = isEngine ? ctx.Codec.EncodeReportRequest()
+                                   : ctx.Codec.EncodeHealthRequest();
+  VerificationResponse verification;
+  verification.RequestedAt = ctx.now();
+  const http::FetchResult fetched = co_await http::fetch(
+      server.Listed.Address, std::move(request), VerifyTimeout);
+  verification.ReceivedAt = ctx.now();
+  if (!ok(fetched.Outcome))
     co_return std::nullopt;
-  const base::Instant openedAt = ctx.now();
-  const std::shared_ptr<http::Connection> connection = value(opened);
-  const auto isClosed = std::make_shared<bool>(false);
-  asio::co_spawn(ctx.Io, waitUntilClosed(connection, isClosed), asio::detached);
-  co_await daemon::sleepFor(KeepTime);
-  const bool isKept = !*isClosed;
-  connection->close();
-  if (!isKept)
+  verification.Server.Id = server.Listed.Id;
+  if (isEngine) {
+    const auto report = ctx.Codec.DecodeReport(value(fetched.Outcome));
+    if (!ok(report))
+      co_return std::nullopt;
+    verification.Server.StartedAt = value(report).StartedAt;
+    co_return verification;
+  }
+  const ServerHealth health = ctx.Codec.DecodeHealth(value(fetched.Outcome));
+  if (health.Id != server.Listed.Id)
     co_return std::nullopt;
-  co_return openedAt;
+  verification.Server.StartedAt = health.StartedAt;
+  co_return verification;
 }
 
-/// Asks a server that closed a connection for a new one. If it accepts, it
-/// has not ended: a process that ends closes its port too. Asks again if the
-/// server has closed further connections meanwhile.
+/// Finds out whether a server that closed a connection has ended. Repeats this
+/// if it has closed further connections meanwhile.
 asio::awaitable<void> verifyEnd(GatewayContext &ctx, Server server) {
   const std::string id = server.Listed.Id;
   base::Instant closedAt{};
@@ -169,12 +171,14 @@
     const base::Duration age = ctx.now() - closedAt;
     if (age < Quarantine::MaxExitTime)
       co_await daemon::sleepFor(Quarantine::MaxExitTime - age);
-    const auto openedAt =
-        co_await keptConnectionTime(ctx, server.Listed.Address);
-    if (openedAt)
-      ctx.Suspects.recordConnection(*openedAt, {id, server.Listed.StartedAt});
-    ctx.Log.write("server-end-checked",
-                  {{"server", id}, {"accepts", openedAt.has_value()}});
+    const auto response = co_await requestVerification(ctx, server);
+    if (response)
+      ctx.Suspects.recordVerification(*response);
+    ctx.Log.write(
+        "server-end-checked",
+        {{"server", id},
+         {"responds", response.has_value()},
+         {"started_ms", response ? response->Server.StartedAt.count() : 0}});
   }
   ctx.ClosedAtByServer.erase(id);
 }
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -121,7 +121,7 @@
           co_await sendRequest(*connection, Codec.EncodeHealthRequest());
       if (!ok(health))
         co_return;
-      identifyEngine(Codec.DecodeHealth(value(health)));
+      identifyEngine(Codec.DecodeHealth(value(health)).Id);
     }
     const auto response =
         co_await sendRequest(*connection, Codec.EncodeReportRequest());
--- a/test/quarantine-test.cc
+++ b/test/quarantine-test.cc
@@ -39,6 +39,11 @@
       end(at, n);
   }
 
+  /// A response that takes no time.
+  void verify(base::Instant at, const ServerInstance &from) {
+    Q.recordVerification({from, at, at});
+  }
+
   Quarantine Q{base::Random(1)};
   Quarantine Other{base::Random(2)};
 };
@@ -74,35 +79,50 @@
   EXPECT_EQ(Q.state(Start + seconds(1), Deadly), State::Clear);
 }
 
-TEST_F(QuarantineTest, AnAcceptedConnectionProvesThatAServerLivesOn) {
+TEST_F(QuarantineTest, AResponseProvesThatAServerLivesOn) {
   end(Start, 1);
   end(Start, 2, EndKind::Silent);
-  // The port may still be open while the process ends.
-  Q.recordConnection(Start + milliseconds(5), server(1));
+  // The process may respond until it has ended.
+  verify(Start + milliseconds(5), server(1));
   EXPECT_FALSE(Q.reports(Start).at(0).Ends.at(0).IsWithdrawn);
   const base::Instant later = Start + Quarantine::MaxExitTime;
-  Q.recordConnection(later, server(1));
-  // A process that hangs accepts connections.
-  Q.recordConnection(later, server(2));
+  verify(later, server(1));
+  verify(later, server(2));
   EXPECT_TRUE(Q.reports(Start).at(0).Ends.at(0).IsWithdrawn);
   EXPECT_FALSE(Q.reports(Start).at(0).Ends.at(1).IsWithdrawn);
 }
 
+TEST_F(QuarantineTest, AKnownStartTimeProvesThatAServerLivesOnAtAnyTime) {
+  end(Start, 1, EndKind::Closed, 7);
+  verify(Start + seconds(10), server(1, 7));
+  EXPECT_EQ(Q.state(Start + seconds(10), Deadly), State::Clear);
+}
+
 /// Guards against a server that has ended and started again, and is taken for
 /// one that lived on (soak, seeds 503 and 504).
-TEST_F(QuarantineTest, AConnectionAfterARestartProvesNothing) {
-  end(Start, 1);
-  Q.recordConnection(Start + Quarantine::MinRestartTime, server(1));
+TEST_F(QuarantineTest, AResponseAfterARestartProvesNothing) {
+  end(Start, 1, EndKind::Closed, 0);
+  Q.recordVerification({server(1, 0), Start + Quarantine::MaxExitTime,
+                        Start + Quarantine::MinRestartTime});
   EXPECT_EQ(Q.state(Start + seconds(1), Deadly), State::Suspect);
 }
 
 TEST_F(QuarantineTest, ADifferentLifeProvesNothing) {
   end(Start, 1);
   const base::Instant later = Start + Quarantine::MaxExitTime;
-  Q.recordConnection(later, server(1, 2));
+  verify(later, server(1, 2));
   EXPECT_EQ(Q.state(later, Deadly), State::Suspect);
 }
 
+/// A response without a start time counts only when it is early.
+TEST_F(QuarantineTest,
+       AnEarlyResponseWithoutStartTimeProvesThatAServerLivesOn) {
+  end(Start, 1);
+  const base::Instant later = Start + Quarantine::MaxExitTime;
+  verify(later, server(1, 0));
+  EXPECT_EQ(Q.state(later, Deadly), State::Clear);
+}
+
 TEST_F(QuarantineTest, AServerThatOutlivesTheEvidenceIsNotEnded) {
   endThree(Start);
   Q.withdrawOutlived(Start + seconds(6),
--- a/test/query-of-death-test.cc
+++ b/test/query-of-death-test.cc
@@ -42,13 +42,16 @@
 constexpr std::string_view DeadlyPath = "/deadly";
 /// The request of death on a streaming route: servers end after an event.
 constexpr std::string_view DeadlyStreamPath = "/stream/deadly";
+constexpr std::string_view HealthPath = "/healthz";
 
 /// What a server does when it gets the request of death.
 enum class EndMode {
-  Crash,   ///< Closes its port and all connections, and stays away.
-  Restart, ///< Closes all connections and starts again under its id.
-  Silence, ///< Keeps its connections and answers nothing more.
-  Hangup,  ///< Closes only the connection of the request, and lives on.
+  Crash,    ///< Closes its port and all connections, and stays away.
+  SlowExit, ///< Closes all connections, and its port some time later, as when
+            ///< a supervisor holds the port. Nothing is answered meanwhile.
+  Restart,  ///< Closes all connections and starts again under its id.
+  Silence,  ///< Keeps its connections and answers nothing more.
+  Hangup,   ///< Closes only the connection of the request, and lives on.
 };
 
 /// Arrivals of the request of death at all servers, and the servers' ends.
@@ -85,12 +88,9 @@
 
   /// Ends the process: its port and all its connections are closed.
   void end() {
-    ++Life;
+    closeConnections();
     error_code ec;
     Acceptor.close(ec);
-    for (const auto &socket : Sockets)
-      socket->close(ec);
-    Sockets.clear();
   }
 
   ListedServer listed() const {
@@ -104,7 +104,7 @@
     return s;
   }
 
-  bool isAlive() const { return Acceptor.is_open() && !IsSilent; }
+  bool isAlive() const { return Acceptor.is_open() && !IsSilent && !IsExiting; }
 
   asio::io_context &Io;
   const base::Clock &Clock;
@@ -112,6 +112,10 @@
   DeadlyRequests &Deadly;
   base::Endpoint Address;
   EndMode Mode = EndMode::Crash;
+  /// Restart: time from the end to the start.
+  milliseconds RestartTime{100};
+  /// SlowExit: time from the end of the connections to that of the port.
+  milliseconds PortLifetime{100};
   /// Probability that a request's connection is closed without a response.
   double HangupProbability = 0;
   /// Called when the server has started again under its id.
@@ -125,7 +129,6 @@
 private:
   using SocketPointer = std::shared_ptr<tcp::socket>;
   static constexpr milliseconds ServiceTime{10};
-  static constexpr milliseconds RestartTime{100};
 
   static asio::awaitable<void> accept(std::shared_ptr<MortalServer> self) {
     const int life = self->Life;
@@ -137,6 +140,8 @@
       if (ec || life != self->Life)
         co_return;
       self->Sockets.insert(socket);
+      if (self->IsExiting)
+        continue;
       asio::co_spawn(self->Io, serve(self, socket), asio::detached);
     }
   }
@@ -149,8 +154,14 @@
     co_await asio::async_read_until(
         *socket, asio::dynamic_buffer(request), "\r\n\r\n",
         asio::redirect_error(asio::use_awaitable, ec));
-    if (ec || self->IsSilent)
+    if (ec || self->IsSilent || self->IsExiting)
+      co_return;
+    if (hasPath(request, HealthPath)) {
+      const std::string health = self->makeHealth();
+      co_await asio::async_write(*socket, asio::buffer(health),
+                                 asio::redirect_error(asio::use_awaitable, ec));
       co_return;
+    }
     const bool isStream = hasPath(request, DeadlyStreamPath);
     const bool isDeadly = isStream || hasPath(request, DeadlyPath);
     if (isStream) {
@@ -188,6 +199,24 @@
     Sockets.erase(socket);
   }
 
+  void closeConnections() {
+    ++Life;
+    error_code ec;
+    for (const auto &socket : Sockets)
+      socket->close(ec);
+    Sockets.clear();
+  }
+
+  static asio::awaitable<void> exitSlowly(std::shared_ptr<MortalServer> self) {
+    self->IsExiting = true;
+    self->closeConnections();
+    // Goes on accepting connections, which are not answered.
+    asio::co_spawn(self->Io, accept(self), asio::detached);
+    co_await sleepFor(self->PortLifetime);
+    self->end();
+    self->IsExiting = false;
+  }
+
   void die(const SocketPointer &socket) {
     if (Mode == EndMode::Hangup) {
       hangUp(socket);
@@ -198,13 +227,17 @@
       IsSilent = true;
       return;
     }
+    if (Mode == EndMode::SlowExit) {
+      asio::co_spawn(Io, exitSlowly(shared_from_this()), asio::detached);
+      return;
+    }
     end();
     if (Mode == EndMode::Restart)
       asio::co_spawn(Io, restart(shared_from_this()), asio::detached);
   }
 
   static asio::awaitable<void> restart(std::shared_ptr<MortalServer> self) {
-    co_await sleepFor(RestartTime);
+    co_await sleepFor(self->RestartTime);
     self->start();
     if (self->OnRestart)
       self->OnRestart();
@@ -221,6 +254,13 @@
   std::string makeResponse(const std::string &request) const {
     return makeHead(request) + "Content-Length: 4\r\n\r\nwell";
   }
+  std::string makeHealth() const {
+    const std::string body =
+        "{\"born\":" + std::to_string(StartedAt.count()) + "}";
+    return "HTTP/1.1 200 OK\r\nX-Instance-Id: " + Id +
+           "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+           body;
+  }
   /// Returns the start of a stream, with one event in a chunk of 15 bytes.
   std::string makeEvent(const std::string &request) const {
     return makeHead(request) + "Content-Type: text/event-stream\r\n"
@@ -234,6 +274,7 @@
   /// Incremented by each start and end; coroutines of earlier lives then stop.
   int Life = 0;
   bool IsSilent = false;
+  bool IsExiting = false;
   base::Random Random{7};
 };
 
@@ -565,6 +606,39 @@
   });
 }
 
+/// Guards against a port that outlives the connections of its server and is
+/// taken for a server that lives on, so that the request ends all of them
+/// (issue 26, BUDGET).
+TEST_F(QueryOfDeathTest, PortsThatOutliveTheirServersProveNothing) {
+  constexpr milliseconds PortLifetimes[] = {milliseconds(100),
+                                            milliseconds(500)};
+  startServers(20, EndMode::SlowExit);
+  for (std::size_t i = 0; i < Servers.size(); ++i)
+    Servers[i]->PortLifetime = PortLifetimes[i % std::size(PortLifetimes)];
+  startGateways(5);
+  runTest([&]() -> asio::awaitable<void> {
+    asio::co_spawn(Io, repeatDeadly(12), asio::detached);
+    co_await callOrdinaryWhileCallersTry();
+    EXPECT_LE(Deadly.Ends.size(), MaxEndedServers);
+    EXPECT_EQ(Deadly.arrivalsAfterLastAllowedEnd(), 0u);
+    EXPECT_EQ(Ordinary.Failed, 0);
+  });
+}
+
+/// Guards against a server that restarts under its id within the time in which
+/// its end is verified, and is taken for one that lives on (issue 26, BUDGET).
+TEST_F(QueryOfDeathTest, ServersThatRestartAtOnceEndThreeTimesAtMost) {
+  startServers(3, EndMode::Restart);
+  for (const auto &server : Servers)
+    server->RestartTime = milliseconds(10);
+  startGateways(3);
+  runTest([&]() -> asio::awaitable<void> {
+    asio::co_spawn(Io, repeatDeadly(20), asio::detached);
+    co_await callOrdinaryWhileCallersTry();
+    EXPECT_LE(Deadly.Ends.size(), MaxEndedServers);
+  });
+}
+
 /// Guards against a stream that ends server after server, each after its first
 /// event (issue 26, BUDGET).
 TEST_F(QueryOfDeathTest, ARepeatedStreamEndsThreeServersAtMost) {
