gateway: Another server's response does not clear a suspect request

Cause: a 421 of another server, which answers at the address of one that has ended, was recorded as a completed run and dropped the evidence against the request.

Change: only a response that a server made after it ran the request clears it.

--- a/include/drumlanding/gateway/attempt-policy.h
+++ b/include/drumlanding/gateway/attempt-policy.h
@@ -50,6 +50,12 @@
   bool HasServer = true;
 };
 
+/// Returns whether a server ran the request to its end. Another server that
+/// answers at its address has not run it.
+constexpr bool isCompleted(AttemptOutcome outcome) {
+  return outcome == AttemptOutcome::Served || outcome == AttemptOutcome::Failed;
+}
+
 /// A request that reached this many servers, most of which had ended, is
 /// refused. The client can retry once the server list is up to date again.
 inline constexpr int MaxArrivals = 4;
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -166,7 +166,7 @@
     recordOutcome(f, id, attempt);
     if (attempt.End == AttemptOutcome::Incomplete)
       recordUnanswered(f, server);
-    else if (attempt.Response && attempt.End != AttemptOutcome::NotRun)
+    else if (isCompleted(attempt.End))
       recordCompleted(f);
     Ctx.Log.write("attempt-ended", {{"request", f.Request.AttemptId},
                                     {"server", id},
--- a/src/gateway/stream-forwarder.cc
+++ b/src/gateway/stream-forwarder.cc
@@ -169,7 +169,7 @@
     recordOutcome(F, id, attempt);
     if (attempt.End == AttemptOutcome::Incomplete)
       recordUnanswered(F, server);
-    else if (attempt.Response && attempt.End != AttemptOutcome::NotRun)
+    else if (isCompleted(attempt.End))
       recordCompleted(F);
     F.closeConnection();
     const bool hasServer = Ctx.Placer
--- a/test/query-of-death-test.cc
+++ b/test/query-of-death-test.cc
@@ -43,6 +43,9 @@
 /// The request of death on a streaming route: servers end after an event.
 constexpr std::string_view DeadlyStreamPath = "/stream/deadly";
 constexpr std::string_view HealthPath = "/healthz";
+/// The response to a request that names another server as the intended one.
+constexpr std::string_view WrongServerResponse =
+    "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n";
 
 /// What a server does when it gets the request of death.
 enum class EndMode {
@@ -156,6 +159,11 @@
         asio::redirect_error(asio::use_awaitable, ec));
     if (ec || self->IsSilent || self->IsExiting)
       co_return;
+    if (!self->isIntended(request)) {
+      co_await asio::async_write(*socket, asio::buffer(WrongServerResponse),
+                                 asio::redirect_error(asio::use_awaitable, ec));
+      co_return;
+    }
     if (hasPath(request, HealthPath)) {
       const std::string health = self->makeHealth();
       co_await asio::async_write(*socket, asio::buffer(health),
@@ -193,6 +201,14 @@
     return request.find(" " + std::string(path) + " ") != std::string::npos;
   }
 
+  /// Returns false if the request names another server.
+  bool isIntended(const std::string &request) const {
+    constexpr std::string_view Name = "X-Expect-Instance: ";
+    const auto at = request.find(Name);
+    return at == std::string::npos ||
+           request.compare(at + Name.size(), Id.size() + 2, Id + "\r\n") == 0;
+  }
+
   void hangUp(const SocketPointer &socket) {
     error_code ec;
     socket->close(ec);
@@ -349,6 +365,9 @@
              server->IsListed ? std::optional(server->listed()) : std::nullopt,
              {},
              server->Revision});
+    for (const ListedServer &entry : EndedEntries)
+      if (entry.Revision > since)
+        all.Changes.push_back({entry.Id, entry, {}, entry.Revision});
     return all;
   }
 
@@ -382,6 +401,15 @@
     asio::co_spawn(Io, renewEntries(), asio::detached);
   }
 
+  /// Lists a server that has ended for each address in use.
+  void listEndedServers() {
+    for (const auto &server : Servers) {
+      ListedServer ended = server->listed();
+      ended.Id = "ended-" + server->Id;
+      EndedEntries.push_back(std::move(ended));
+    }
+  }
+
   void startGateway(bool hasSeed = true) {
     GatewaySettings settings;
     settings.Name = "gateway-" + std::to_string(Gateways.size());
@@ -541,6 +569,8 @@
   base::SystemClock Clock;
   DeadlyRequests Deadly;
   std::vector<std::shared_ptr<MortalServer>> Servers;
+  /// Entries of servers that have ended.
+  std::vector<ListedServer> EndedEntries;
   std::vector<std::unique_ptr<Shell>> Gateways;
   std::vector<int> Statuses;
   OrdinaryResults Ordinary;
@@ -625,6 +655,19 @@
   });
 }
 
+/// Guards against evidence that is dropped when another server answers at the
+/// address of one that has ended: it did not run the request (soak, seed 509).
+TEST_F(QueryOfDeathTest, AnotherServersResponseIsNoCompletion) {
+  startServers(20);
+  listEndedServers();
+  startGateways(5);
+  runTest([&]() -> asio::awaitable<void> {
+    co_await repeatDeadly(20);
+    EXPECT_LE(Deadly.Ends.size(), MaxEndedServers);
+    EXPECT_EQ(Deadly.arrivalsAfterLastAllowedEnd(), 0u);
+  });
+}
+
 /// Guards against a server that restarts under its id within the time in which
 /// its end is verified, and is taken for one that lives on (issue 26, BUDGET).
 TEST_F(QueryOfDeathTest, ServersThatRestartAtOnceEndThreeTimesAtMost) {
