gateway: Wait for an idle link before the final copy of a move

Cause: the full copy takes 200 ms. While it is sent, the copy of another generation may start on the same link, and the final copy, during which the generation is stopped, queued behind it. The full copy itself was taken for a sign of an idle link.

Change: a short copy has to show that the link is idle (CopySequence). The two tests of it fail with the former rule, which ended after the full copy.

--- a/src/gateway/migrator.cc
+++ b/src/gateway/migrator.cc
@@ -3,6 +3,7 @@
 #include "gateway-metrics.h"
 
 #include "drumlanding/daemon/sleep.h"
+#include "drumlanding/gateway/copy-sequence.h"
 #include "drumlanding/gateway/migration-order.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -17,9 +18,6 @@
 using daemon::sleepFor;
 using Outcome = CopyResponse::Outcome;
 
-/// A copy that exceeds its expected time by this much was queued behind other
-/// copies on the link, and so would the final copy be.
-constexpr milliseconds QueueingSlack{60};
 /// Copies of a long prompt that queue behind others take seconds.
 constexpr milliseconds CopyTimeout{4'000};
 /// Delay before the next copy request when the source has not begun the run, so
@@ -174,18 +172,18 @@
 }
 
 /// Copies the KV cache while the run continues, at most MaxCopies times, until
-/// one copy is not delayed by others on the link or only the final copy fits
+/// the final copy is not delayed by others on the link or only that one fits
 /// before the shutdown. Returns false when the destination accepts no copy or
 /// the run has left the source.
 asio::awaitable<bool> Migrator::copyWhileRunning(StreamRunPointer run,
                                                  Server source,
                                                  Server destination) {
-  base::Duration expected = estimateCopyTime(*run, source, destination);
+  CopySequence copies(estimateCopyTime(*run, source, destination));
   for (int i = 0; i < MaxCopies; ++i) {
     const base::Instant startedAt = Ctx.now();
     // Another copy and the final one no longer fit before the shutdown: the
     // final copy has to transfer all that is not yet at the destination.
-    if (startedAt + expected + FinalCopyTime > shutdownAt(source))
+    if (startedAt + copies.expectedTime() + FinalCopyTime > shutdownAt(source))
       co_return true;
     const CopyResponse response =
         co_await copyKvCache(run, source, destination, false);
@@ -196,13 +194,12 @@
     }
     if (response.Code == Outcome::NoRoom || response.Code == Outcome::Failed)
       co_return false;
-    const bool isCopied = response.Code == Outcome::Copied;
-    if (isCopied && Ctx.now() - startedAt < expected + QueueingSlack)
-      co_return true;
-    if (isCopied)
-      expected = base::Duration(0);
+    if (response.Code == Outcome::Copied)
+      copies.recordCopy(Ctx.now() - startedAt);
     else
       co_await sleepFor(CopyRetryInterval);
+    if (copies.isReadyForFinalCopy())
+      co_return true;
   }
   co_return true;
 }
--- a/test/gateway-test.cc
+++ b/test/gateway-test.cc
@@ -2,6 +2,7 @@
 // time.
 #include "drumlanding/gateway/attempt-policy.h"
 #include "drumlanding/gateway/config-transfer.h"
+#include "drumlanding/gateway/copy-sequence.h"
 #include "drumlanding/gateway/directory.h"
 #include "drumlanding/gateway/event-log.h"
 #include "drumlanding/gateway/event-splitter.h"
@@ -1490,5 +1491,30 @@
   EXPECT_FALSE(transfer.isActive(start + milliseconds(3'002)));
 }
 
+/// Several generations of one engine move at the same time: the full copy of
+/// one starts during that of another, whose final copy would wait for it while
+/// its stream is stopped.
+TEST(CopySequence, CopiesOfOtherGenerationsBetweenTheFullAndTheFinalCopy) {
+  CopySequence copies(milliseconds(200));
+  EXPECT_EQ(copies.expectedTime(), milliseconds(200));
+  copies.recordCopy(milliseconds(200));
+  EXPECT_FALSE(copies.isReadyForFinalCopy());
+  EXPECT_EQ(copies.expectedTime(), milliseconds(0));
+  // Queued behind the other generation's copy.
+  copies.recordCopy(milliseconds(190));
+  EXPECT_FALSE(copies.isReadyForFinalCopy());
+  copies.recordCopy(milliseconds(15));
+  EXPECT_TRUE(copies.isReadyForFinalCopy());
+}
+
+/// A short generation is copied within the time of a delay on the link.
+TEST(CopySequence, AFullCopyIsNoProofOfAnIdleLink) {
+  CopySequence copies(milliseconds(10));
+  copies.recordCopy(milliseconds(10));
+  EXPECT_FALSE(copies.isReadyForFinalCopy());
+  copies.recordCopy(milliseconds(10));
+  EXPECT_TRUE(copies.isReadyForFinalCopy());
+}
+
 } // namespace
 } // namespace drumlanding::gateway
