placement: Long generations avoid engines that get many prompts

Hypothesis: prompts are read in the gaps between the tokens of the generations beside them. Where short requests with long prompts collect, long generations should not run.

Change: each gateway keeps the recent rate of prompts by engine, from its own and the announced placements (PrefillHistory). Their share of the engine's time is charged to a generation by its expected length, so that prompts collect on engines that streams have left, without fixed roles.

PromptsArrivingTogetherBesideRunningStreams fails without the charge.

--- a/include/drumlanding/gateway/run-table.h
+++ b/include/drumlanding/gateway/run-table.h
@@ -9,7 +9,9 @@
 #pragma once
 
 #include "drumlanding/base/clock.h"
+#include "drumlanding/gateway/prefill-history.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -78,6 +80,10 @@
   /// Returns the load of every engine that has any, by server, in one pass over
   /// the runs. Valid until the next change.
   std::unordered_map<std::string_view, EngineLoad> loads() const;
+  /// Returns the prompt tokens per ms that an engine has recently been given.
+  double prefillTokensPerMs(base::Instant now, std::string_view server) const {
+    return Prefills.tokensPerMs(now, server);
+  }
   /// Returns all generations on a server, including other gateways' runs.
   std::vector<TrackedRun> runsOn(std::string_view server) const;
   /// Returns this gateway's runs, to be sent to the others.
@@ -92,10 +98,19 @@
   struct Peer {
     base::Instant LastSeenAt{};
     std::vector<TrackedRun> Runs;
+
+    bool contains(RunId id) const {
+      return std::any_of(Runs.begin(), Runs.end(),
+                         [&](const TrackedRun &run) { return run.Id == id; });
+    }
   };
 
   template <typename Visit> void forEachRun(Visit visit) const;
 
+  /// Records the prefill of a run that was not known before.
+  void recordPrefill(base::Instant now, const TrackedRun &run);
+
+  PrefillHistory Prefills;
   std::unordered_map<RunId, TrackedRun> OwnRuns;
   std::map<std::string, Peer> Peers;
 };
--- a/src/gateway/placement.cc
+++ b/src/gateway/placement.cc
@@ -7,6 +7,10 @@
 
 /// Prefill time per prompt token, from the engines' data sheet (14 tokens/ms).
 constexpr double PrefillMsPerToken = 1.0 / 14;
+/// Time per output token without prefills beside it, from the same sheet.
+constexpr double DecodeMsPerToken = 7.5;
+/// The recent rate of prompts predicts the delay of this many output tokens.
+constexpr std::uint32_t PredictableTokens = 1'000;
 /// Cost per token that an engine is forecast to hold. KV cache is an engine's
 /// scarcest resource, and an engine with many generations cannot be drained in
 /// time. With this value, one more long generation weighs as much as waiting
@@ -60,10 +64,16 @@
 /// encounter and cause there.
 double engineCost(base::Instant now, const Server &server,
                   const EngineTraits &engine, const EngineLoad &load,
-                  const Demand &demand) {
+                  const Demand &demand, double prefillTokensPerMs) {
   double cost =
       static_cast<double>(load.PendingPromptTokens) * PrefillMsPerToken;
   cost += static_cast<double>(load.ForecastTokens) * KvCacheMsPerToken;
+  // Prefills of other prompts delay the generation's tokens. Long generations
+  // therefore avoid the engines that get many prompts, and these collect there.
+  const double prefillShare =
+      std::min(prefillTokensPerMs * PrefillMsPerToken, 1.0);
+  cost += prefillShare * DecodeMsPerToken *
+          std::min(demand.ExpectedTokens, PredictableTokens);
   cost += static_cast<double>(
       std::max(std::int64_t{0}, base::toMs(server.ColdUntil - now)));
   cost += server.FailureRate * FailureRateCostMs;
@@ -125,8 +135,10 @@
     ++best.Candidates;
     const auto it = loads.find(server->Listed.Id);
     const EngineLoad load = it == loads.end() ? EngineLoad() : it->second;
-    const double cost = engineCost(now, *server, engine, load, demand) +
-                        networkCost(*server, load);
+    const double cost =
+        engineCost(now, *server, engine, load, demand,
+                   Runs.prefillTokensPerMs(now, server->Listed.Id)) +
+        networkCost(*server, load);
     if (best.Chosen && cost >= best.CostMs)
       continue;
     best.Chosen = server;
--- a/src/gateway/run-table.cc
+++ b/src/gateway/run-table.cc
@@ -48,7 +48,15 @@
   return std::min({remaining, maxRemaining, ForecastHorizonTokens});
 }
 
+void RunTable::recordPrefill(base::Instant now, const TrackedRun &run) {
+  // A migrated run brings its KV cache along.
+  if (!run.HasFirstToken)
+    Prefills.record(now, run.Server, run.PromptTokens);
+}
+
 void RunTable::upsert(const TrackedRun &run) {
+  if (!OwnRuns.contains(run.Id))
+    recordPrefill(run.StartedAt, run);
   OwnRuns[run.Id] = run;
   notifyChange();
 }
@@ -68,7 +76,11 @@
 
 void RunTable::applyPeerSnapshot(base::Instant now, const std::string &peer,
                                  std::vector<TrackedRun> runs) {
-  Peers[peer] = {now, std::move(runs)};
+  Peer &known = Peers[peer];
+  for (const TrackedRun &run : runs)
+    if (!known.contains(run.Id))
+      recordPrefill(now, run);
+  known = {now, std::move(runs)};
   notifyChange();
 }
 
@@ -77,6 +89,9 @@
                               const std::vector<RunId> &ended) {
   Peer &known = Peers[peer];
   known.LastSeenAt = now;
+  for (const TrackedRun &run : changed)
+    if (!known.contains(run.Id))
+      recordPrefill(now, run);
   std::erase_if(known.Runs, [&](const TrackedRun &run) {
     const auto isSameRun = [&](const TrackedRun &r) { return r.Id == run.Id; };
     return std::find(ended.begin(), ended.end(), run.Id) != ended.end() ||
@@ -90,6 +105,7 @@
   std::erase_if(Peers, [&](const auto &entry) {
     return now - entry.second.LastSeenAt > PeerTimeout;
   });
+  Prefills.evict(now);
 }
 
 template <typename Visit> void RunTable::forEachRun(Visit visit) const {
--- a/test/gateway-test.cc
+++ b/test/gateway-test.cc
@@ -757,6 +757,50 @@
   EXPECT_EQ(c.Chosen->Listed.Id, "far");
 }
 
+/// Many prompts arrive beside running streams: long generations avoid the
+/// engine that gets them, though it holds the least, and short ones do not.
+TEST_F(PlacementTest, PromptsArrivingTogetherBesideRunningStreams) {
+  Servers.put(Start, server("prompts"));
+  Servers.put(Start, server("streams"));
+  for (RunId i = 0; i < 10; ++i) {
+    TrackedRun prompt = run(i, "prompts", 2'500);
+    prompt.StartedAt = Start;
+    Runs.upsert(prompt);
+    Runs.remove(i);
+  }
+  TrackedRun stream = run(20, "streams", 3'000);
+  stream.HasFirstToken = true;
+  Runs.upsert(stream);
+  const Demand longOne{3'000, 1'000};
+  const Demand shortOne{2'500, 12};
+  EXPECT_EQ(
+      Placing.chooseForGeneration(Start, Llm, longOne, {}).Chosen->Listed.Id,
+      "streams");
+  EXPECT_EQ(
+      Placing.chooseForGeneration(Start, Llm, shortOne, {}).Chosen->Listed.Id,
+      "prompts");
+  // The prompts have been read and no further ones came.
+  const base::Instant later = Start + seconds(20);
+  EXPECT_EQ(
+      Placing.chooseForGeneration(later, Llm, longOne, {}).Chosen->Listed.Id,
+      "prompts");
+}
+
+/// A generation that moves brings its KV cache: it is no prompt to read.
+TEST(RunTable, MovedRunsAreNoPrefill) {
+  RunTable table;
+  TrackedRun moved = run(1, "s", 3'000);
+  moved.HasFirstToken = true;
+  moved.StartedAt = Start;
+  table.upsert(moved);
+  table.applyPeerDelta(Start, "peer", {run(2, "s", 3'000)}, {});
+  const double rate = table.prefillTokensPerMs(Start, "s");
+  EXPECT_DOUBLE_EQ(rate, 1.0);
+  // A repeated report of the same run changes nothing.
+  table.applyPeerSnapshot(Start, "peer", {run(2, "s", 3'000)});
+  EXPECT_DOUBLE_EQ(table.prefillTokensPerMs(Start, "s"), rate);
+}
+
 /// Gateways that get the list from other gateways receive a server's remaining
 /// warm-up time only once.
 TEST_F(PlacementTest, ColdServersWarmUpWithTime) {
