http: Close connections after responses that were open at the stop

Cause: a stream that was open at the stop had told its caller to keep the connection. After its end the connection stayed open until the next check of idle ones, up to 50 ms later, and a request that came within that time was taken.

Change: such a connection is closed right after the response.

ALeavingGatewayTakesNoRequestAfterAnOpenResponse failed before and passes now.

--- a/include/drumlanding/http/http.h
+++ b/include/drumlanding/http/http.h
@@ -116,7 +116,8 @@
   ~Server();
   /// Closes the port; open connections are not affected.
   void stopAccepting();
-  /// Closes each connection after the response to its next request.
+  /// Closes each connection after its open response, or if there is none, after
+  /// the response to its next request.
   void closeAfterResponses();
   /// Closes the connections on which no request is being read or processed.
   void closeIdle();
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -412,7 +412,8 @@
   if (ClosesAfterResponses)
     exchange.closeAfterResponse();
   co_await Handle(toRequest(parser.release()), exchange);
-  co_return exchange.shouldKeepAlive();
+  // The response may have begun before closeAfterResponses() was called.
+  co_return exchange.shouldKeepAlive() && !ClosesAfterResponses;
 }
 
 base::Result<std::unique_ptr<Server>>
--- a/test/forwarding-test.cc
+++ b/test/forwarding-test.cc
@@ -649,6 +649,33 @@
   });
 }
 
+/// Guards against a stopping gateway that takes a further request on a
+/// connection whose response had begun before the stop, and cuts it at its exit
+/// (hunt, busy-stops-and-hangups, LOST).
+TEST_F(ForwardingTest, ALeavingGatewayTakesNoRequestAfterAnOpenResponse) {
+  TestServer &server = addServer("e1", "llm");
+  startGateway();
+  runTest([&]() -> asio::awaitable<void> {
+    co_await waitUntilReady();
+    auto opened = co_await http::Connection::open(ListenAddress, TestLimit);
+    const std::shared_ptr<http::Connection> caller = value(opened);
+    caller->send(request("POST", "/stream/x"));
+    const auto head = co_await caller->readHead();
+    EXPECT_TRUE(ok(head));
+    Gateway->shutDown();
+    for (;;) {
+      const auto piece = co_await caller->read();
+      EXPECT_TRUE(ok(piece));
+      if (!ok(piece) || value(piece).empty())
+        break;
+    }
+    caller->send(request("POST", "/stream/x"));
+    const auto next = co_await caller->readHead();
+    EXPECT_FALSE(ok(next));
+    EXPECT_EQ(server.Requests.size(), 1U);
+  });
+}
+
 TEST_F(ForwardingTest, ValidSettingsAreReloadedAndInvalidOnesRejected) {
   startGateway();
   runTest([&]() -> asio::awaitable<void> {
