--- a/src/gateway/prefill-history.cc
+++ b/src/gateway/prefill-history.cc
@@ -14,8 +14,8 @@
 
 double PrefillHistory::decayed(const Entry &entry, base::Instant now) {
   const double age = std::max(
-      0.0, std::chrono::duration<double, std::milli>(now - entry.UpdatedAt)
-               .count());
+      0.0,
+      std::chrono::duration<double, std::milli>(now - entry.UpdatedAt).count());
   return entry.Tokens * std::exp(-age / DecayMs);
 }
 
--- a/src/gateway/suspect-requests.cc
+++ b/src/gateway/suspect-requests.cc
@@ -129,36 +129,42 @@
 
 namespace {
 
+/// Returns the server that a response to the verification comes from; none if
+/// the response does not come from `server`.
+std::optional<ServerInstance> identify(const GatewayContext &ctx,
+                                       const ListedServer &server,
+                                       bool isEngine,
+                                       const http::Response &response) {
+  if (isEngine) {
+    const auto report = ctx.Codec.DecodeReport(response);
+    if (!ok(report))
+      return std::nullopt;
+    return ServerInstance{server.Id, value(report).StartedAt};
+  }
+  const ServerHealth health = ctx.Codec.DecodeHealth(response);
+  if (health.Id != server.Id)
+    return std::nullopt;
+  return ServerInstance{health.Id, health.StartedAt};
+}
+
 /// Asks a server for its start time. Returns none if it does not respond: a
 /// port that accepts connections may outlive its server.
 asio::awaitable<std::optional<VerificationResponse>>
-requestVerification(GatewayContext &ctx, Server server) {
+requestVerification(GatewayContext &ctx, ListedServer server) {
   const Service *service =
-      ctx.Routes ? ctx.Routes->config().service(server.Listed.Service)
-                 : nullptr;
+      ctx.Routes ? ctx.Routes->config().service(server.Service) : nullptr;
   const bool isEngine = service && service->Engine;
   http::Request request = isEngine ? ctx.Codec.EncodeReportRequest()
                                    : ctx.Codec.EncodeHealthRequest();
-  VerificationResponse verification;
-  verification.RequestedAt = ctx.now();
-  const http::FetchResult fetched = co_await http::fetch(
-      server.Listed.Address, std::move(request), VerifyTimeout);
-  verification.ReceivedAt = ctx.now();
+  const base::Instant requestedAt = ctx.now();
+  const http::FetchResult fetched =
+      co_await http::fetch(server.Address, std::move(request), VerifyTimeout);
   if (!ok(fetched.Outcome))
     co_return std::nullopt;
-  verification.Server.Id = server.Listed.Id;
-  if (isEngine) {
-    const auto report = ctx.Codec.DecodeReport(value(fetched.Outcome));
-    if (!ok(report))
-      co_return std::nullopt;
-    verification.Server.StartedAt = value(report).StartedAt;
-    co_return verification;
-  }
-  const ServerHealth health = ctx.Codec.DecodeHealth(value(fetched.Outcome));
-  if (health.Id != server.Listed.Id)
+  auto instance = identify(ctx, server, isEngine, value(fetched.Outcome));
+  if (!instance)
     co_return std::nullopt;
-  verification.Server.StartedAt = health.StartedAt;
-  co_return verification;
+  co_return VerificationResponse{std::move(*instance), requestedAt, ctx.now()};
 }
 
 /// Finds out whether a server that closed a connection has ended. Repeats this
@@ -171,7 +177,7 @@
     const base::Duration age = ctx.now() - closedAt;
     if (age < Quarantine::MaxExitTime)
       co_await daemon::sleepFor(Quarantine::MaxExitTime - age);
-    const auto response = co_await requestVerification(ctx, server);
+    const auto response = co_await requestVerification(ctx, server.Listed);
     if (response)
       ctx.Suspects.recordVerification(*response);
     ctx.Log.write(
--- a/test/store-session-test.cc
+++ b/test/store-session-test.cc
@@ -3,6 +3,7 @@
 #include "free-endpoint.h"
 #include "gateway.pb.h"
 #include "platform/protocol-codec.h"
+#include "platform/store-codec.h"
 #include "platform/store-reader.h"
 #include "shell.h"
 
--- a/tools/fake-platform.cc
+++ b/tools/fake-platform.cc
@@ -4,6 +4,7 @@
 // store. Tests use /v1/test/... to set the VMs, read call counts and inject
 // outages, delays and dropped responses.
 #include "platform/names.h"
+#include "platform/store-codec.h"
 #include "platform/store.h"
 #include "tool-support.h"
 
