--- a/test/soak/main.cc
+++ b/test/soak/main.cc
@@ -82,6 +82,11 @@
       startGateway(n);
     for (int n = 1; n <= FLAGS_engines; ++n)
       startSidecar(n);
+    // An address is in use: another run has the same ports.
+    if (Log.violations() > 0) {
+      System.Programs.killAll();
+      return reportResult();
+    }
     System.Programs.OnUnexpectedExit = [this](const Program &program,
                                               int status) {
       Log.recordViolation(
