gateway: Log the shared parts of prompts

The logs of the incident could not tell which requests have a part of their prompts in common: `placed` and `request-unanswered` now name the shared parts, which the adapter decodes.

--- a/include/drumlanding/gateway/protocol-codec.h
+++ b/include/drumlanding/gateway/protocol-codec.h
@@ -39,6 +39,9 @@
   std::uint32_t ExpectedTokens = 0;
   /// Generations: the model and the prompt, as the client's headers give them.
   std::string PromptDescription;
+  /// Generations: ids of the parts of the prompt that other requests may have
+  /// in common with it, in order. Its last part, which is its own, is left out.
+  std::vector<std::string> SharedPromptParts;
 };
 
 /// Where a stream resumes: a copy of the generation's KV cache, and the last
--- a/src/gateway/forwarded-request.cc
+++ b/src/gateway/forwarded-request.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <spdlog/fmt/fmt.h>
+#include <spdlog/fmt/ranges.h>
 
 namespace drumlanding::gateway {
 namespace {
@@ -40,6 +41,8 @@
     return NotReadyRetryAfter;
   return reason == Reason::Leaving ? LeavingRetryAfter : DefaultRetryAfter;
 }
+/// Prompts have a few parts; more would not fit into a line of the log.
+constexpr std::size_t MaxLoggedParts = 16;
 constexpr int HighestPriority = 0;
 constexpr int LowestPriority = 9;
 /// Number of route priorities within each organisation priority.
@@ -64,6 +67,13 @@
   return *Fingerprint;
 }
 
+std::string ForwardedRequest::sharedPartsText() const {
+  const auto &ids = Request.SharedPromptParts;
+  const std::size_t n = std::min(ids.size(), MaxLoggedParts);
+  return fmt::format("{}{}", fmt::join(ids.begin(), ids.begin() + n, ","),
+                     n < ids.size() ? ",..." : "");
+}
+
 void ForwardedRequest::closeConnection() {
   if (Connection)
     Connection->close();
@@ -154,6 +164,7 @@
        {"organisation", f.CallerOrganisation ? f.CallerOrganisation->Name : ""},
        {"server", server.Listed.Id},
        {"server_started_ms", server.Listed.StartedAt.count()},
+       {"parts", f.sharedPartsText()},
        {"end", connectionEnd(f)},
        {"ms", base::toMs(f.Ctx.now() - f.SentAt)}});
 }
--- a/src/gateway/forwarded-request.h
+++ b/src/gateway/forwarded-request.h
@@ -63,6 +63,8 @@
   bool isAborted() const { return IsExpired || HasCallerDisconnected; }
   /// Computed when it is first needed, which few requests do.
   const RequestFingerprint &fingerprint();
+  /// Returns the ids of the shared parts of the prompt, separated by commas.
+  std::string sharedPartsText() const;
   /// Returns the priority for engines, from 0 (most urgent) to 9. The
   /// organisation's priority takes precedence over the route's.
   int priority() const;
--- a/src/gateway/stream-forwarder.cc
+++ b/src/gateway/stream-forwarder.cc
@@ -148,6 +148,7 @@
                              {"cost_ms", choice.CostMs},
                              {"running", choice.Load.Running},
                              {"forecast_tokens", choice.Load.ForecastTokens},
+                             {"parts", F.sharedPartsText()},
                              {"prompt_tokens", F.Request.PromptTokens},
                              {"expected_tokens", F.Request.ExpectedTokens}});
     countTowardsLimit(Ctx, id);
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -73,6 +73,22 @@
   EXPECT_TRUE(r.AttemptId.empty());
 }
 
+TEST(ProtocolCodec, SharedPartsOfThePromptAreAllButTheLast) {
+  const gateway::ProtocolCodec codec = makeProtocolCodec();
+  using Ids = std::vector<std::string>;
+  const auto decode = [&](std::vector<http::Header> headers) {
+    return codec.DecodeRequest({"GET", "/", std::move(headers), {}})
+        .SharedPromptParts;
+  };
+  EXPECT_EQ(decode({}), Ids{});
+  EXPECT_EQ(decode({{"X-Prompt-Prefix", "aa:7"}}), Ids{});
+  EXPECT_EQ(decode({{"X-Prompt-Prefix", "aa:7, BB:9 ,aa:7,cc:1"}}),
+            (Ids{"aa", "bb"}));
+  EXPECT_EQ(decode({{"X-Prompt-Prefix", "aa:7"}, {"X-Prompt-Prefix", "bb:2"}}),
+            Ids{"aa"});
+  EXPECT_EQ(decode({{"X-Prompt-Prefix", ",:3,a,b"}}), Ids{"a"});
+}
+
 TEST(ProtocolCodec, StripsApiKeyAndForgedGatewayHeaders) {
   const gateway::ProtocolCodec codec = makeProtocolCodec();
   const gateway::CallerRequest r = codec.DecodeRequest(sampleRequest());
