http, gateway: A response without length may be the end of its server

Cause: such a body ends with its connection, also when the server ends: the gateway took it for served, which cleared the part. An event cut off in the middle was not taken for a closed connection. And a migration that stops such a run at its source ends the body like a whole one (by reading). Class: an end that is inferred from silence.

Change: the head says whether its body is delimited.

--- a/src/gateway/stream-forwarder.cc
+++ b/src/gateway/stream-forwarder.cc
@@ -39,6 +39,8 @@
   asio::awaitable<bool> openStream();
   asio::awaitable<Attempt> attemptOpen(Server server);
   asio::awaitable<void> forwardEvents();
+  asio::awaitable<void> waitForMigration();
+  asio::awaitable<bool> isWhole();
   asio::awaitable<bool> sendToCaller(std::string events);
   asio::awaitable<bool> resume();
   asio::awaitable<bool> resumeAt(Server server, ResumePoint from);
@@ -221,6 +223,25 @@
   co_return co_await X.body(std::move(events));
 }
 
+asio::awaitable<void> StreamForwarder::waitForMigration() {
+  while (Run->IsMigrating && !F.isAborted()) {
+    boost::system::error_code ec;
+    co_await Run->MigrationEnded.async_wait(
+        asio::redirect_error(asio::use_awaitable, ec));
+  }
+}
+
+/// Returns whether a body that has ended is the whole stream. One without a
+/// delimiter also ends when a migration has stopped the run.
+asio::awaitable<bool> StreamForwarder::isWhole() {
+  if (Run->Events.hasPartialEvent())
+    co_return false;
+  if (F.IsResponseDelimited)
+    co_return true;
+  co_await waitForMigration();
+  co_return F.BeganAt && !Run->ResumeFrom;
+}
+
 asio::awaitable<void> StreamForwarder::forwardEvents() {
   for (;;) {
     auto piece = co_await F.Connection->read();
@@ -240,7 +261,7 @@
       piece = base::Error{base::ErrorCode::TooLarge, Run->Server, "event"};
       F.closeConnection();
     }
-    const bool isEnd = ok(piece) && !Run->Events.hasPartialEvent();
+    const bool isEnd = ok(piece) && co_await isWhole();
     if (isEnd) {
       if (!IsHeadSent)
         co_await X.beginBody(Head.Status, Head.Headers);
@@ -250,8 +271,7 @@
       logStreamEnd("whole");
       co_return;
     }
-    if (!ok(piece))
-      F.ReadError = error(piece).Code;
+    F.ReadError = ok(piece) ? base::ErrorCode::Closed : error(piece).Code;
     const bool isResumed = co_await resume();
     if (isResumed)
       continue;
@@ -271,11 +291,7 @@
 /// destination, or at the source when the destination fails. Returns false when
 /// the stream cannot be resumed.
 asio::awaitable<bool> StreamForwarder::resume() {
-  while (Run->IsMigrating && !F.isAborted()) {
-    boost::system::error_code ec;
-    co_await Run->MigrationEnded.async_wait(
-        asio::redirect_error(asio::use_awaitable, ec));
-  }
+  co_await waitForMigration();
   if (F.isAborted() || !Run->ResumeFrom)
     co_return false;
   ResumePoint from = *Run->ResumeFrom;
--- a/src/http/connection.cc
+++ b/src/http/connection.cc
@@ -88,6 +88,7 @@
       co_return toError(Peer, ec);
     ResponseHead head;
     head.Status = static_cast<int>(Parser->get().result_int());
+    head.IsDelimited = !Parser->need_eof() || Parser->is_done();
     for (const auto &field : Parser->get().base())
       head.Headers.push_back(
           {std::string(field.name_string()), std::string(field.value())});
