gateway: An overloaded gateway closes new connections unread

And a gateway without descriptors accepted nothing any more and repeated the failed accept without pause, while its connections were idle (connection-limit-test: no request of ten served, now all). Class: an input without a limit of its own, and no way to hand it on.

Change: a load shedder by the delay of the event loop; a limit on connections, and descriptors kept free, by closing the connections that have been idle for longest.

Not measured: real gateways on a weak VM under such a shift of connections.

--- a/include/drumlanding/http/http.h
+++ b/include/drumlanding/http/http.h
@@ -98,6 +98,11 @@
   CallerLimits Limits;
   /// If set, overrides `Limits` for each request that begins.
   std::function<CallerLimits()> CurrentLimits;
+  /// When there are more connections, those that have been idle for longest are
+  /// closed. When none is idle, new ones are closed unread.
+  std::size_t MaxConnections = 2'000;
+  /// If set, a new connection for which it returns false is closed unread.
+  std::function<bool()> AcceptsConnection;
   /// Responses to requests that exceed a limit or cannot be parsed.
   Response BodyTooLarge{413, "text/plain", "The body is too large.\n", {}};
   Response HeaderTooLarge{
@@ -107,7 +112,8 @@
   Response Malformed{400, "text/plain", "The request is malformed.\n", {}};
 };
 
-/// A listening server; each connection runs on its own strand.
+/// A listening server; each connection runs on its own strand. If the process
+/// has no descriptors left, the server lowers its limit on connections.
 class Server {
 public:
   static base::Result<std::unique_ptr<Server>>
--- a/src/gateway/gateway-context.h
+++ b/src/gateway/gateway-context.h
@@ -7,6 +7,7 @@
 #include "drumlanding/gateway/config-transfer.h"
 #include "drumlanding/gateway/directory.h"
 #include "drumlanding/gateway/event-log.h"
+#include "drumlanding/gateway/load-shedder.h"
 #include "drumlanding/gateway/part-quarantine.h"
 #include "drumlanding/gateway/peers.h"
 #include "drumlanding/gateway/placement.h"
@@ -91,6 +92,7 @@
   std::map<std::string, base::Instant> ClosedAtByServer;
   Placement Placer;
   RetryBudget Budget;
+  LoadShedder Shedder;
   ResponseMemory ResponseBodies{Settings.Responses};
   base::Random Random;
   std::uint64_t Incarnation = base::secureRandom64();
--- a/src/gateway/gateway-metrics.cc
+++ b/src/gateway/gateway-metrics.cc
@@ -63,6 +63,10 @@
                 {{"service", std::string(service)}, {"why", std::string(why)}});
 }
 
+void countShedConnection(base::Metrics &metrics) {
+  metrics.count("drumlanding_gateway_connections_shed_total", {});
+}
+
 void countStoreCall(base::Metrics &metrics, std::string_view resource,
                     bool isAnswered) {
   metrics.count(
--- a/src/gateway/gateway-metrics.h
+++ b/src/gateway/gateway-metrics.h
@@ -45,6 +45,9 @@
 void countSuspectRefusal(base::Metrics &metrics, std::string_view service,
                          std::string_view why);
 
+/// Counts a connection that was closed unread because of overload.
+void countShedConnection(base::Metrics &metrics);
+
 /// Counts a call to the store for a resource, "config" or "servers".
 void countStoreCall(base::Metrics &metrics, std::string_view resource,
                     bool isAnswered);
--- a/src/gateway/shell.cc
+++ b/src/gateway/shell.cc
@@ -82,6 +82,25 @@
   };
 }
 
+namespace {
+
+/// Measures how late the event loop runs timers.
+asio::awaitable<void> measureDelay(GatewayContext &ctx) {
+  for (;;) {
+    const base::Instant dueAt = ctx.now() + LoadShedder::SampleInterval;
+    co_await sleepFor(LoadShedder::SampleInterval);
+    const base::Instant now = ctx.now();
+    const bool wasOverloaded = ctx.Shedder.isOverloaded();
+    ctx.Shedder.recordDelay(now, now - dueAt);
+    if (ctx.Shedder.isOverloaded() != wasOverloaded)
+      ctx.Log.write(
+          wasOverloaded ? "overload-ended" : "overload-began",
+          {{"delay_ms", base::toMs(now - dueAt)}, {"open", ctx.OpenRequests}});
+  }
+}
+
+} // namespace
+
 base::Result<std::unique_ptr<Shell>>
 Shell::start(asio::io_context &io, const base::Clock &clock,
              GatewaySettings settings, ProtocolCodec codec, StoreReader store) {
@@ -91,6 +110,7 @@
     return error(r);
   asio::co_spawn(io, watchConfig(shell->Ctx), asio::detached);
   asio::co_spawn(io, watchServers(shell->Ctx), asio::detached);
+  asio::co_spawn(io, measureDelay(shell->Ctx), asio::detached);
   shell->Ctx.Log.write("started", {{"zone", shell->Ctx.Settings.Zone},
                                    {"incarnation", shell->Ctx.Incarnation}});
   return shell;
@@ -105,6 +125,12 @@
   options.CurrentLimits = [this] {
     return Ctx.Routes ? Ctx.Routes->config().Limits : http::CallerLimits();
   };
+  options.AcceptsConnection = [this] {
+    const bool isAccepted = Ctx.Shedder.accepts(Ctx.now());
+    if (!isAccepted)
+      countShedConnection(Ctx.Metrics);
+    return isAccepted;
+  };
   auto callers =
       http::Server::listen(Ctx.Io, Ctx.Settings.Listen, std::move(options),
                            [this](http::Request r, http::Exchange &x) {
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -15,7 +15,9 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 #include <fmt/format.h>
+#include <map>
 #include <mutex>
+#include <optional>
 #include <sstream>
 #include <sys/socket.h>
 #include <unordered_set>
@@ -29,6 +31,10 @@
 using boost::system::error_code;
 
 constexpr int ListenBacklog = 1024;
+/// When descriptors run out, this many are freed for other uses.
+constexpr std::size_t ReservedDescriptors = 16;
+/// Time after which a failed accept is repeated.
+constexpr base::milliseconds AcceptRetryDelay{10};
 /// Large enough for the headers and body of most requests.
 constexpr std::size_t FirstReadBytes = 4 << 10;
 
@@ -239,15 +245,17 @@
     explicit ServerConnection(tcp::socket socket) : Stream(std::move(socket)) {}
     beast::tcp_stream Stream;
     bool IsIdle = true;
+    /// Position in the order in which connections became idle. Guarded by Lock.
+    std::optional<std::uint64_t> IdleRank;
   };
   using ConnectionPointer = std::shared_ptr<ServerConnection>;
   using Parser = beast::http::request_parser<beast::http::string_body>;
 
   asio::awaitable<void> accept();
   asio::awaitable<void> serve(ConnectionPointer connection);
-  asio::awaitable<bool> serveOne(ServerConnection &connection,
+  asio::awaitable<bool> serveOne(ConnectionPointer connection,
                                  beast::flat_buffer &buffer);
-  asio::awaitable<bool> waitForBytes(ServerConnection &connection,
+  asio::awaitable<bool> waitForBytes(ConnectionPointer connection,
                                      beast::flat_buffer &buffer,
                                      base::milliseconds timeout);
   asio::awaitable<error_code> readRequest(ServerConnection &connection,
@@ -257,7 +265,11 @@
   const Response *errorResponse(const error_code &ec) const;
   void addConnection(const ConnectionPointer &connection);
   void removeConnection(const ConnectionPointer &connection);
+  void setIdle(const ConnectionPointer &connection, bool isIdle);
   void closeIdle();
+  bool makeRoom();
+  bool closeLongestIdle();
+  bool reserveDescriptors();
 
   asio::io_context &Io;
   tcp::acceptor Acceptor;
@@ -267,6 +279,9 @@
   std::mutex Lock;
   /// Guarded by Lock.
   std::unordered_set<ConnectionPointer> Connections;
+  /// The idle connections by rank. Guarded by Lock.
+  std::map<std::uint64_t, ConnectionPointer> Idle;
+  std::uint64_t NextIdleRank = 0;
 };
 
 void Server::State::addConnection(const ConnectionPointer &connection) {
@@ -275,10 +290,66 @@
 }
 
 void Server::State::removeConnection(const ConnectionPointer &connection) {
+  setIdle(connection, false);
   const std::lock_guard guard(Lock);
   Connections.erase(connection);
 }
 
+void Server::State::setIdle(const ConnectionPointer &connection, bool isIdle) {
+  connection->IsIdle = isIdle;
+  const std::lock_guard guard(Lock);
+  if (connection->IdleRank)
+    Idle.erase(*connection->IdleRank);
+  connection->IdleRank.reset();
+  if (!isIdle)
+    return;
+  connection->IdleRank = NextIdleRank++;
+  Idle.emplace(*connection->IdleRank, connection);
+}
+
+/// Closes the connection that has been idle for longest. Returns false if none
+/// is idle.
+bool Server::State::closeLongestIdle() {
+  ConnectionPointer connection;
+  {
+    const std::lock_guard guard(Lock);
+    if (Idle.empty())
+      return false;
+    connection = Idle.begin()->second;
+    Idle.erase(Idle.begin());
+    connection->IdleRank.reset();
+  }
+  asio::post(connection->Stream.get_executor(), [connection] {
+    error_code ec;
+    if (connection->IsIdle)
+      connection->Stream.socket().close(ec);
+  });
+  return true;
+}
+
+/// Makes room for a new connection. Returns false if there is none.
+bool Server::State::makeRoom() {
+  std::size_t open = 0;
+  {
+    const std::lock_guard guard(Lock);
+    open = Connections.size();
+  }
+  return open < Options.MaxConnections || closeLongestIdle();
+}
+
+/// Called when the process has no descriptors left. Closes idle connections,
+/// and keeps that many descriptors free from then on.
+bool Server::State::reserveDescriptors() {
+  std::size_t closed = 0;
+  while (closed < ReservedDescriptors && closeLongestIdle())
+    ++closed;
+  const std::lock_guard guard(Lock);
+  const std::size_t open = Connections.size();
+  if (closed > 0 && open > closed)
+    Options.MaxConnections = open - closed;
+  return closed > 0;
+}
+
 void Server::State::closeIdle() {
   const std::lock_guard guard(Lock);
   for (const ConnectionPointer &connection : Connections)
@@ -298,7 +369,16 @@
                                    asio::redirect_error(use_awaitable, ec));
     if (ec == asio::error::operation_aborted)
       co_return;
-    if (ec)
+    if (ec) {
+      if (ec == asio::error::no_descriptors)
+        reserveDescriptors();
+      // The error persists until a descriptor is free.
+      asio::steady_timer timer(Acceptor.get_executor(), AcceptRetryDelay);
+      co_await timer.async_wait(asio::redirect_error(use_awaitable, ec));
+      continue;
+    }
+    if ((Options.AcceptsConnection && !Options.AcceptsConnection()) ||
+        !makeRoom())
       continue;
     setSocketOptions(socket);
     auto executor = socket.get_executor();
@@ -311,25 +391,25 @@
   const auto self = shared_from_this();
   addConnection(connection);
   beast::flat_buffer buffer;
-  while (co_await serveOne(*connection, buffer)) {
+  while (co_await serveOne(connection, buffer)) {
   }
   removeConnection(connection);
   error_code ec;
   connection->Stream.socket().shutdown(tcp::socket::shutdown_both, ec);
 }
 
-asio::awaitable<bool> Server::State::waitForBytes(ServerConnection &connection,
+asio::awaitable<bool> Server::State::waitForBytes(ConnectionPointer connection,
                                                   beast::flat_buffer &buffer,
                                                   base::milliseconds timeout) {
   if (buffer.size() > 0)
     co_return true;
-  connection.IsIdle = true;
-  connection.Stream.expires_after(timeout);
+  setIdle(connection, true);
+  connection->Stream.expires_after(timeout);
   error_code ec;
-  const std::size_t n = co_await connection.Stream.async_read_some(
+  const std::size_t n = co_await connection->Stream.async_read_some(
       buffer.prepare(FirstReadBytes), asio::redirect_error(use_awaitable, ec));
   buffer.commit(n);
-  connection.IsIdle = false;
+  setIdle(connection, false);
   co_return !ec;
 }
 
@@ -392,7 +472,7 @@
   return isMalformed && !isDisconnect ? &Options.Malformed : nullptr;
 }
 
-asio::awaitable<bool> Server::State::serveOne(ServerConnection &connection,
+asio::awaitable<bool> Server::State::serveOne(ConnectionPointer connection,
                                               beast::flat_buffer &buffer) {
   const CallerLimits limits =
       Options.CurrentLimits ? Options.CurrentLimits() : Options.Limits;
@@ -400,15 +480,15 @@
     co_return false;
   Parser parser;
   const error_code ec =
-      co_await readRequest(connection, buffer, parser, limits);
+      co_await readRequest(*connection, buffer, parser, limits);
   const bool keepAlive = !ec && parser.get().keep_alive();
-  HttpExchange exchange(connection.Stream, keepAlive, limits.IdleTimeout);
+  HttpExchange exchange(connection->Stream, keepAlive, limits.IdleTimeout);
   if (ec) {
     if (const Response *response = errorResponse(ec))
       co_await exchange.send(*response);
     co_return false;
   }
-  connection.Stream.expires_never();
+  connection->Stream.expires_never();
   if (ClosesAfterResponses)
     exchange.closeAfterResponse();
   co_await Handle(toRequest(parser.release()), exchange);
--- /dev/null
+++ b/test/connection-limit-test.cc
@@ -0,0 +1,143 @@
+// Tests servers that get more connections than they can hold or serve.
+#include "free-endpoint.h"
+
+#include "drumlanding/daemon/sleep.h"
+#include "drumlanding/http/http.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+namespace drumlanding::http {
+namespace {
+
+using base::milliseconds;
+using base::seconds;
+using test::freeEndpoint;
+using tcp = asio::ip::tcp;
+
+constexpr seconds TestLimit{10};
+
+class ConnectionLimitTest : public testing::Test {
+protected:
+  void SetUp() override { ::getrlimit(RLIMIT_NOFILE, &Limit); }
+  void TearDown() override { ::setrlimit(RLIMIT_NOFILE, &Limit); }
+
+  void startServer(ServerOptions options = {}) {
+    auto server =
+        Server::listen(Io, Address, std::move(options),
+                       [this](Request, Exchange &x) -> asio::awaitable<void> {
+                         ++Requests;
+                         Response response;
+                         response.Body = "well";
+                         co_await x.send(std::move(response));
+                       });
+    ASSERT_TRUE(ok(server));
+    Callers = std::move(value(server));
+  }
+
+  /// Opens connections on which nothing is sent. The kernel accepts them for
+  /// the server, also while this thread does not run it.
+  void openIdle(int count) {
+    for (int i = 0; i < count; ++i) {
+      Idle.emplace_back(Io);
+      Idle.back().connect(
+          {asio::ip::make_address(Address.Address), Address.Port});
+    }
+  }
+
+  /// Lets the process open this many more descriptors.
+  void limitDescriptors(rlim_t more) {
+    const int next = ::open("/dev/null", O_RDONLY);
+    ::close(next);
+    rlimit limit = Limit;
+    limit.rlim_cur = static_cast<rlim_t>(next) + more;
+    ::setrlimit(RLIMIT_NOFILE, &limit);
+  }
+
+  asio::awaitable<FetchResult> call() {
+    Request request{"GET", "/", {}, {}};
+    request.Headers.push_back({"Host", "a.example"});
+    co_return co_await fetch(Address, std::move(request), seconds(2));
+  }
+
+  template <typename Body> void runTest(Body body) {
+    bool isDone = false;
+    asio::co_spawn(
+        Io,
+        [&]() -> asio::awaitable<void> {
+          co_await body();
+          isDone = true;
+          Io.stop();
+        },
+        asio::detached);
+    Io.run_for(TestLimit);
+    EXPECT_TRUE(isDone) << "the test hangs";
+  }
+
+  asio::io_context Io{1};
+  base::Endpoint Address = freeEndpoint();
+  std::unique_ptr<Server> Callers;
+  std::vector<tcp::socket> Idle;
+  rlimit Limit{};
+  int Requests = 0;
+};
+
+/// Guards against a server without free descriptors that accepts no connection
+/// any more, and retries without pause, while most of its connections are idle
+/// (issue 32, RECOVER).
+TEST_F(ConnectionLimitTest, IdleConnectionsAreClosedWhenDescriptorsRunOut) {
+  startServer();
+  openIdle(100);
+  limitDescriptors(40);
+  runTest([&]() -> asio::awaitable<void> {
+    for (int i = 0; i < 10; ++i) {
+      const FetchResult result = co_await call();
+      EXPECT_TRUE(ok(result.Outcome)) << i;
+    }
+    EXPECT_EQ(Requests, 10);
+  });
+}
+
+TEST_F(ConnectionLimitTest, TheLongestIdleConnectionsMakeRoom) {
+  ServerOptions options;
+  options.MaxConnections = 20;
+  startServer(std::move(options));
+  openIdle(50);
+  runTest([&]() -> asio::awaitable<void> {
+    const FetchResult result = co_await call();
+    EXPECT_TRUE(ok(result.Outcome));
+    std::size_t open = 0;
+    for (tcp::socket &socket : Idle) {
+      socket.non_blocking(true);
+      char byte = 0;
+      boost::system::error_code ec;
+      socket.read_some(asio::buffer(&byte, 1), ec);
+      open += ec == asio::error::would_block ? 1 : 0;
+    }
+    EXPECT_LE(open, 20u);
+    EXPECT_GE(open, 15u);
+  });
+}
+
+TEST_F(ConnectionLimitTest, ConnectionsThatAreNotAcceptedAreClosedUnread) {
+  bool accepts = false;
+  ServerOptions options;
+  options.AcceptsConnection = [&accepts] { return accepts; };
+  startServer(std::move(options));
+  runTest([&]() -> asio::awaitable<void> {
+    const FetchResult refused = co_await call();
+    EXPECT_FALSE(ok(refused.Outcome));
+    EXPECT_EQ(Requests, 0);
+    accepts = true;
+    const FetchResult served = co_await call();
+    EXPECT_TRUE(ok(served.Outcome));
+  });
+}
+
+} // namespace
+} // namespace drumlanding::http
--- a/test/forwarding-test.cc
+++ b/test/forwarding-test.cc
@@ -17,6 +17,7 @@
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
+#include <thread>
 
 namespace drumlanding::gateway {
 namespace {
@@ -636,6 +637,56 @@
   });
 }
 
+/// Guards against a gateway that gets most new connections, reads them all, and
+/// serves each late, while other gateways are free (issue 32, RECOVER).
+TEST_F(ForwardingTest, AnOverloadedGatewayClosesNewConnectionsUnread) {
+  constexpr milliseconds BusyTime{250};
+  constexpr milliseconds Load = seconds(4);
+  constexpr int CallsPerTurn = 10;
+  addServer("s1", "shop");
+  startGateway();
+  runTest([&]() -> asio::awaitable<void> {
+    co_await waitUntilReady();
+    const base::Instant from = std::chrono::steady_clock::now();
+    const auto isLoaded = [&] {
+      return std::chrono::steady_clock::now() - from < Load;
+    };
+    // Occupies the gateway's thread.
+    const auto occupy = [&]() -> asio::awaitable<void> {
+      while (isLoaded()) {
+        std::this_thread::sleep_for(BusyTime);
+        co_await sleepFor(milliseconds(1));
+      }
+    };
+    int closed = 0;
+    int served = 0;
+    int open = 0;
+    const auto callOnce = [&]() -> asio::awaitable<void> {
+      ++open;
+      const http::FetchResult result = co_await http::fetch(
+          ListenAddress, request("GET", "/often/x"), seconds(5));
+      ++(ok(result.Outcome) ? served : closed);
+      --open;
+    };
+    asio::co_spawn(Io, occupy(), asio::detached);
+    while (isLoaded()) {
+      for (int i = 0; i < CallsPerTurn; ++i)
+        asio::co_spawn(Io, callOnce(), asio::detached);
+      co_await sleepFor(PollInterval);
+    }
+    while (open > 0)
+      co_await sleepFor(PollInterval);
+    EXPECT_GT(closed, served);
+    EXPECT_GT(served, 0);
+    // Calm again: all are accepted.
+    co_await sleepFor(seconds(1));
+    closed = 0;
+    for (int i = 0; i < 10; ++i)
+      co_await callOnce();
+    EXPECT_EQ(closed, 0);
+  });
+}
+
 TEST_F(ForwardingTest, CallerDisconnectEndsTheRun) {
   TestServer &engine = addServer("e1", "llm");
   engine.Events = 1'000'000;
