gateway: Tell the lives of a server apart when parts are blamed

Traced: ends of a server that restarts under its id had one key, so that the ends of one part were taken as explained by ends of the server's former lives.

Also: a part that explains the same ends as another one that was never served is not certain; the time without service counts from a part's fifth end, also while another part explains them.

--- a/include/drumlanding/gateway/part-quarantine.h
+++ b/include/drumlanding/gateway/part-quarantine.h
@@ -12,10 +12,11 @@
 /// has been served since, and no other part explains these ends better. Parts
 /// that were served at some time are the worse explanation.
 ///
-/// The blame is certain if the part alone explains MaxEndedServers ends at
-/// different times, and was never served. Otherwise it takes more ends, and
-/// ConfirmationTime, in which an innocent part would be served; then one
-/// request at a time is a trial, at growing intervals.
+/// The blame is certain if the part was never served, and explains
+/// MaxEndedServers ends at different times that no other such part explains.
+/// Otherwise it takes more ends, and ConfirmationTime, in which an innocent
+/// part would be served; then one request at a time is a trial, at growing
+/// intervals.
 ///
 /// Evidence and blame are per organisation: none can have another's requests
 /// refused by naming their parts.
@@ -27,9 +28,6 @@
 
 namespace drumlanding::gateway {
 
-/// An end of a server, of which a part may be the cause.
-using EndKey = std::pair<std::string, std::uint32_t>;
-
 /// The parts that were served recently, with the latest time; bounded.
 class ServedParts {
 public:
@@ -118,19 +116,12 @@
     base::Instant TrialAt{};
   };
   using BlameMap = std::map<RequestFingerprint, Blame>;
-  /// A part that may be the cause, but is not certain to be.
-  struct PendingBlame {
-    PendingBlame(base::Instant since, base::Instant seenAt)
-        : Since(since), SeenAt(seenAt) {}
-    base::Instant Since;
-    /// The last update that found it.
-    base::Instant SeenAt;
-  };
 
   void noteServed(base::Instant now, const RequestFingerprint &part);
   BlameMap findCauses(base::Instant now);
-  bool isLongPending(std::span<const RequestFingerprint> parts,
-                     base::Instant now);
+  void updatePending(base::Instant now,
+                     std::span<const SuspectEvidence> evidence);
+  bool isConfirmed(base::Instant now, const RequestFingerprint &part) const;
   bool isCertain(const RequestFingerprint &part) const;
   /// Adds this gateway's verdicts to the evidence.
   std::vector<SuspectReport>
@@ -141,7 +132,7 @@
   /// When this gateway first recorded that a part was served.
   std::optional<base::Instant> FirstServedAt;
   BlameMap Blamed;
-  std::map<RequestFingerprint, PendingBlame> Pending;
+  std::map<RequestFingerprint, base::Instant> PendingSince;
   /// Parts of which other gateways are certain.
   std::set<RequestFingerprint> CertainAtPeers;
 };
--- a/src/gateway/part-quarantine.cc
+++ b/src/gateway/part-quarantine.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <span>
+#include <tuple>
 #include <utility>
 
 namespace drumlanding::gateway {
@@ -15,7 +16,12 @@
 /// Bounds the delay of a trial.
 constexpr std::size_t MaxBackoffSteps = 6;
 
-EndKey keyOf(const CountedEnd &end) { return {end.Server.Id, end.Occurrence}; }
+/// Identifies an end of a server, which may restart under its id.
+using EndKey = std::tuple<std::string, base::milliseconds, std::uint32_t>;
+
+EndKey keyOf(const CountedEnd &end) {
+  return {end.Server.Id, end.Server.StartedAt, end.Occurrence};
+}
 
 /// A part, with the ends that no better explanation covers.
 struct Candidate {
@@ -29,12 +35,13 @@
   }
 
   bool covers(const std::set<EndKey> &ends) const {
-    return ends.size() <= Unexplained.size() &&
-           std::all_of(ends.begin(), ends.end(), [this](const EndKey &key) {
-             return std::any_of(
-                 Unexplained.begin(), Unexplained.end(),
-                 [&](const CountedEnd &end) { return keyOf(end) == key; });
-           });
+    return countShared(ends) == ends.size();
+  }
+
+  std::size_t countShared(const std::set<EndKey> &ends) const {
+    return static_cast<std::size_t>(std::count_if(
+        Unexplained.begin(), Unexplained.end(),
+        [&](const CountedEnd &end) { return ends.contains(keyOf(end)); }));
   }
 };
 
@@ -53,6 +60,18 @@
   return times;
 }
 
+/// Returns how many of the parts may be the cause of as many of the ends as
+/// suffice for blame, `best` included.
+std::size_t countRivals(std::span<const Candidate> candidates,
+                        const Candidate &best, const std::set<EndKey> &ends) {
+  return static_cast<std::size_t>(std::count_if(
+      candidates.begin(), candidates.end(), [&](const Candidate &candidate) {
+        return candidate.Evidence->HasBeenServed ==
+                   best.Evidence->HasBeenServed &&
+               candidate.countShared(ends) >= PartQuarantine::MaxEndedServers;
+      }));
+}
+
 /// Returns how many of the times are not within CommonCauseTime of an earlier
 /// one that counts.
 std::size_t countOccasions(std::span<const base::Instant> times) {
@@ -208,6 +227,7 @@
 PartQuarantine::BlameMap PartQuarantine::findCauses(base::Instant now) {
   const std::vector<SuspectEvidence> evidence =
       Evidence.evidence(now, MaxEndedServers);
+  updatePending(now, evidence);
   std::vector<Candidate> candidates;
   for (const SuspectEvidence &found : evidence)
     candidates.push_back({&found, found.Ends});
@@ -230,33 +250,39 @@
     const bool mayBeCertain =
         CertainAtPeers.contains(best.Evidence->Fingerprint) ||
         (!isLearning && !wasUncertain);
-    const bool isOnlyCause = group.size() == 1 &&
+    const bool isOnlyCause = countRivals(candidates, best, ends) == 1 &&
                              !best.Evidence->HasBeenServed &&
                              countOccasions(times) >= MaxEndedServers;
-    const bool isConfirmed =
-        times.size() >= MaxUncertainEnds && isLongPending(group, now);
     if (isOnlyCause && mayBeCertain)
       causes[best.Evidence->Fingerprint] = {true, {}};
-    else if (isConfirmed)
+    else if (isConfirmed(now, best.Evidence->Fingerprint))
       for (const RequestFingerprint &part : group)
-        causes[part] = {false, times.back() + trialDelay(times.size())};
+        causes[part] = {false,
+                        times.back() + trialDelay(best.Evidence->Ends.size())};
     removeExplained(candidates, ends);
   }
-  std::erase_if(Pending,
-                [&](const auto &entry) { return entry.second.SeenAt != now; });
   return causes;
 }
 
-/// Returns whether the parts have been a possible cause for ConfirmationTime.
-bool PartQuarantine::isLongPending(std::span<const RequestFingerprint> parts,
-                                   base::Instant now) {
-  bool isLong = false;
-  for (const RequestFingerprint &part : parts) {
-    PendingBlame &pending = Pending.try_emplace(part, now, now).first->second;
-    pending.SeenAt = now;
-    isLong |= now - pending.Since >= ConfirmationTime;
+/// Keeps since when each part has had MaxUncertainEnds ends without service,
+/// whether or not another part explains them for now.
+void PartQuarantine::updatePending(base::Instant now,
+                                   std::span<const SuspectEvidence> evidence) {
+  std::map<RequestFingerprint, base::Instant> pending;
+  for (const SuspectEvidence &found : evidence) {
+    if (found.Ends.size() < MaxUncertainEnds)
+      continue;
+    const auto it = PendingSince.find(found.Fingerprint);
+    pending[found.Fingerprint] = it == PendingSince.end() ? now : it->second;
   }
-  return isLong;
+  PendingSince = std::move(pending);
+}
+
+/// Returns whether a part has gone without service for ConfirmationTime.
+bool PartQuarantine::isConfirmed(base::Instant now,
+                                 const RequestFingerprint &part) const {
+  const auto it = PendingSince.find(part);
+  return it != PendingSince.end() && now - it->second >= ConfirmationTime;
 }
 
 void PartQuarantine::update(base::Instant now) {
--- a/support/mutants.sh
+++ b/support/mutants.sh
@@ -16,7 +16,8 @@
   shift 2
 fi
 UNITS=(gateway-test platform-test sidecar-test forwarding-test store-session-test
-  request-limit-test quarantine-test query-of-death-test endless-response-test)
+  request-limit-test quarantine-test query-of-death-test endless-response-test
+  part-quarantine-test prompt-part-test connection-limit-test)
 PROGRAMS=(drumlanding-gateway drumlanding-sidecar fake-platform soak)
 SOAK_SEED=501
 
@@ -27,7 +28,7 @@
 older-config-taken|src/gateway/gateway-context.cc|s/version <= Routes->config\(\)\.Version/version == Routes->config().Version/
 leaving-server-chosen|src/gateway/directory.cc|s/if \(server\.IsLeaving \|\| server\.Listed\.Service != service\)/if (server.Listed.Service != service)/
 silent-watch-kept|platform/store.cc|s/wait \+ WatchTimeoutMargin,/wait + 100 * WatchTimeoutMargin,/
-early-end-looks-whole|src/gateway/stream-forwarder.cc|s/const bool isEnd = ok\(piece\) && !Run->Events\.hasPartialEvent\(\);/const bool isEnd = !Run->IsMigrating;/
+early-end-looks-whole|src/gateway/stream-forwarder.cc|s/  if \(Run->Events\.hasPartialEvent\(\)\)\n    co_return false;\n//
 sidecar-notice-lost|src/gateway/gossip.cc|s/  Ctx\.Servers\.applyNotice\(now, fromWire\(message\.notice\(\)\)\);\n//
 unreadable-entry-hides-others|platform/store-reader.cc|s/    changes\.Changes\.push_back\(std::move\(change\)\);/    if (!change.Problem.empty())\n      return base::invalid("servers", change.Problem);\n    changes.Changes.push_back(std::move(change));/
 life-confused|src/gateway/directory.cc|s/return a\.count\(\) > 0 && b\.count\(\) > 0 && a < b;/return false \&\& a < b;/
@@ -48,11 +49,17 @@
 migration-not-counted|src/gateway/migrator.cc|s/    countTowardsLimit\(Ctx, to\.Listed\.Id\);\n//
 quarantine-ignored|src/gateway/quarantine.cc|s/if \(ends >= MaxEndedServers\)/if (ends > 1000)/
 ends-not-reported|src/gateway/gossip.cc|s/\*message\.add_suspects\(\) = toWire\(report\);/(void)report;/g
-claims-ignored|src/gateway/suspect-requests.cc|s/if \(holdsClaim\(f, now\)\)/if (true)/
-restart-taken-for-survival|src/gateway/quarantine.cc|s/ && age < MinRestartTime//
-served-request-not-cleared|src/gateway/quarantine.cc|s/  it->second\.ClearedAt = now;\n  markChanged\(now, \*it, "requests"\);//
+claims-ignored|src/gateway/suspect-requests.cc|s/\|\| holdsClaim\(f, now\)/|| true/
+restart-taken-for-survival|src/gateway/quarantine.cc|s/return response\.ReceivedAt - end\.ObservedAt < MinRestartTime;/return true;/
+served-request-not-cleared|src/gateway/quarantine.cc|s/  suspect\.ClearedAt = servedAt;\n//
 closed-connection-not-verified|src/gateway/suspect-requests.cc|s/  if \(\*kind == EndKind::Closed\)\n    scheduleVerification\(f\.Ctx, server\);\n/  (void)scheduleVerification;\n/
 isolated-share-forgotten|src/gateway/peers.cc|s/SharedBudgetTimeout\{300\}/SharedBudgetTimeout{15}/
+part-quarantine-ignored|src/gateway/forwarded-request.cc|s/if \(f\.Ctx\.SuspectParts\.isQuarantined\(part\)\)/if (false)/
+part-ends-not-reported|src/gateway/gossip.cc|s/\*message\.add_suspect_parts\(\) = toWire\(report\);/(void)report;/g
+parts-of-all-organisations|src/gateway/request-fingerprint.cc|s/  addPart\(state, organisation\);\n  addPart\(state, part\);/  (void)organisation;\n  addPart(state, part);/
+other-explanations-ignored|src/gateway/part-quarantine.cc|s/return explained\.contains\(keyOf\(end\)\);/return false \&\& explained.contains(keyOf(end));/
+undelimited-end-is-completion|src/http/connection.cc|s/!Parser->need_eof\(\) \|\| Parser->is_done\(\)/true/
+overload-accepted|src/gateway/load-shedder.cc|s/if \(IsOverloaded && /if (false \&\& /
 body-without-limit|src/gateway/forwarded-request.cc|s/if \(!memory\.grow\(value\(piece\)\.size\(\)\)\)/if (!memory.grow(0))/
 LIST
 )
--- a/test/part-quarantine-test.cc
+++ b/test/part-quarantine-test.cc
@@ -116,6 +116,41 @@
   EXPECT_TRUE(isQuarantined(Start + seconds(2), "b"));
 }
 
+/// Guards against the blame of the part that all requests of an organisation
+/// share, before one of them was served, in place of the deadly one.
+TEST_F(PartQuarantineTest, APartThatExplainsMoreThanTheCauseIsNotCertain) {
+  end(Start, 0, {"first", "other"});
+  for (int n = 1; n < 4; ++n)
+    end(Start + milliseconds(200 * n), n, {"first", "deadly"});
+  const base::Instant now = Start + milliseconds(800);
+  EXPECT_FALSE(isQuarantined(now, "first"));
+  EXPECT_FALSE(isQuarantined(now, "deadly"));
+  Q.recordHarmless(now + seconds(1), part("first"), now);
+  EXPECT_TRUE(isQuarantined(now + seconds(1), "deadly"));
+  EXPECT_FALSE(isQuarantined(now + seconds(60), "first"));
+}
+
+/// Guards against ends of a restarted server that are explained by the ends of
+/// its former lives.
+TEST_F(PartQuarantineTest, EndsOfARestartedServerAreDistinct) {
+  const auto endLife = [this](int life, const std::string &id) {
+    const base::Instant at = Start + milliseconds(200 * life);
+    UnansweredRequest request;
+    request.Fingerprint = part(id);
+    request.Organisation = "school";
+    request.Server = {"s0", seconds(life + 1)};
+    request.SentAt = at;
+    Q.recordEnd(at, request);
+    Q.update(at);
+  };
+  for (int life = 0; life < 3; ++life)
+    endLife(life, "a");
+  for (int life = 3; life < 6; ++life)
+    endLife(life, "b");
+  EXPECT_TRUE(isQuarantined(Start + seconds(2), "a"));
+  EXPECT_TRUE(isQuarantined(Start + seconds(2), "b"));
+}
+
 /// Parts that cannot be told apart are tried one by one.
 TEST_F(PartQuarantineTest, EquallyGoodExplanationsAreTried) {
   for (int n = 0; n < 5; ++n)
