--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -18,6 +18,9 @@
 /// ms for each of about ten running generations.
 constexpr double MsPerToken = 8.5;
 
+/// Bounds the evidence that one request may add. Prompts have a few parts.
+constexpr std::size_t MaxTrackedParts = 32;
+
 /// Returns the expected duration of a stream; 0 for plain calls.
 base::Duration expectedStreamDuration(const ForwardedRequest &f) {
   if (f.MatchedRoute->Kind != RequestKind::Stream)
@@ -83,6 +86,8 @@
       std::min(f.Request.Timeout.value_or(f.MatchedRoute->Timeout),
                f.MatchedRoute->Timeout);
   f.Deadline = f.ReceivedAt + timeout;
+  if (f.Request.SharedPromptParts.size() > MaxTrackedParts)
+    f.Request.SharedPromptParts.resize(MaxTrackedParts);
   for (const std::string &id : f.Request.SharedPromptParts)
     f.PartFingerprints.push_back(makePartFingerprint(f.organisation(), id));
   // The stream would be interrupted when this gateway exits; another gateway
--- a/src/gateway/stream-forwarder.cc
+++ b/src/gateway/stream-forwarder.cc
@@ -209,8 +209,9 @@
   if (LastEventAt == base::Instant{}) {
     TimeToFirstEvent = now - F.ReceivedAt;
     F.BeganAt = now;
-  } else
+  } else {
     MaxPause = std::max(MaxPause, now - LastEventAt);
+  }
   LastEventAt = now;
   Ctx.Runs.updateProgress(Run->Id, Run->generatedTokens());
   if (!IsHeadSent)
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -269,7 +269,7 @@
   void closeIdle();
   bool makeRoom();
   bool closeLongestIdle();
-  bool reserveDescriptors();
+  void reserveDescriptors();
 
   asio::io_context &Io;
   tcp::acceptor Acceptor;
@@ -339,7 +339,7 @@
 
 /// Called when the process has no descriptors left. Closes idle connections,
 /// and keeps that many descriptors free from then on.
-bool Server::State::reserveDescriptors() {
+void Server::State::reserveDescriptors() {
   std::size_t closed = 0;
   while (closed < ReservedDescriptors && closeLongestIdle())
     ++closed;
@@ -347,7 +347,6 @@
   const std::size_t open = Connections.size();
   if (closed > 0 && open > closed)
     Options.MaxConnections = open - closed;
-  return closed > 0;
 }
 
 void Server::State::closeIdle() {
