Tests: No port twice in a process

The three endpoints of a gateway came from three listeners opened and closed in turn: the system may give the same port twice, or give it to an outgoing connection, which has the process's own address too. Ports are counted up now, below the system's range.

--- a/include/drumlanding/gateway/part-quarantine.h
+++ b/include/drumlanding/gateway/part-quarantine.h
@@ -132,6 +132,7 @@
   /// When this gateway first recorded that a part was served.
   std::optional<base::Instant> FirstServedAt;
   BlameMap Blamed;
+  /// Since when parts have had MaxUncertainEnds ends without service.
   std::map<RequestFingerprint, base::Instant> PendingSince;
   /// Parts of which other gateways are certain.
   std::set<RequestFingerprint> CertainAtPeers;
--- a/test/free-endpoint.h
+++ b/test/free-endpoint.h
@@ -21,11 +21,21 @@
          std::to_string(id & OctetMask);
 }
 
+/// Returns an endpoint that this process has not used yet. Its port is below
+/// those that the system gives to outgoing connections.
 inline base::Endpoint freeEndpoint() {
+  constexpr unsigned short FirstPort = 20'000;
+  static unsigned short nextPort = FirstPort;
   boost::asio::io_context io;
   const auto address = boost::asio::ip::make_address(ownAddress());
-  const boost::asio::ip::tcp::acceptor acceptor(io, {address, 0});
-  return {ownAddress(), acceptor.local_endpoint().port()};
+  for (;;) {
+    const unsigned short port = nextPort++;
+    boost::asio::ip::tcp::acceptor acceptor(io, boost::asio::ip::tcp::v4());
+    boost::system::error_code ec;
+    acceptor.bind({address, port}, ec);
+    if (!ec)
+      return {ownAddress(), port};
+  }
 }
 
 } // namespace drumlanding::test
