gateway: An organisation that varies its parts poisons no other

Nobody may have another organisation's requests refused. An organisation whose requests end servers under a new part each time was not found itself, but a part of another organisation that was on these servers was: with one on each, it was quarantined for ten minutes at the third end (test AnOrganisationThatVariesItsPartsPoisonsNoOther, and in simulated traffic). Callers choose the ids of parts, so that this costs an attacker nothing.

The evidence holds now which organisations had a request on each ended server, with or without parts.

Also: a gateway that is certain stays so; a report of a gateway that still learns withdrew the certainty that another one had reported (by reading).

What is left: two organisations that act together can shield a deadly part, by having requests of the second on all servers that the first one's requests end.

--- a/include/drumlanding/gateway/part-quarantine.h
+++ b/include/drumlanding/gateway/part-quarantine.h
@@ -3,7 +3,7 @@
 /// from all servers.
 ///
 ///   PartQuarantine q(random);
-///   q.recordEnd(now, {part, organisation, server, sentAt, kind, id});
+///   q.recordEnd(now, {organisation, server, sentAt, kind, parts});
 ///   q.recordHarmless(now, part, beganAt);   // another server has served it
 ///   q.isQuarantined(now, part);
 ///
@@ -19,7 +19,9 @@
 /// intervals.
 ///
 /// Evidence and blame are per organisation: none can have another's requests
-/// refused by naming their parts.
+/// refused by naming their parts. Nor by ending the servers that run them: a
+/// part is not blamed while one other organisation was on all of its ended
+/// servers.
 #pragma once
 
 #include "drumlanding/gateway/quarantine.h"
@@ -28,6 +30,16 @@
 
 namespace drumlanding::gateway {
 
+/// A request that a server did not answer, possibly because it ended.
+struct UnansweredPrompt {
+  std::string Organisation;
+  ServerInstance Server;
+  base::Instant SentAt{};
+  EndKind Kind = EndKind::Closed;
+  /// The ids of the shared parts of its prompt.
+  std::span<const std::string> Parts;
+};
+
 /// The parts that were served recently, with the latest time; bounded.
 class ServedParts {
 public:
@@ -71,8 +83,10 @@
                      bool isCertain)>
       OnChange;
 
+  /// Records the end of a server as evidence against the parts, and that it
+  /// ran a request of the organisation.
+  void recordEnd(base::Instant now, const UnansweredPrompt &unanswered);
   /// Evidence, as for requests. See Quarantine.
-  void recordEnd(base::Instant now, const UnansweredRequest &unanswered);
   void recordResponse(base::Instant now, const ServerInstance &server);
   void recordVerification(const VerificationResponse &response);
   void withdrawOutlived(
@@ -123,6 +137,7 @@
                      std::span<const SuspectEvidence> evidence);
   bool isConfirmed(base::Instant now, const RequestFingerprint &part) const;
   bool isCertain(const RequestFingerprint &part) const;
+  bool isBlamedAnywhere(const RequestFingerprint &part) const;
   /// Adds this gateway's verdicts to the evidence.
   std::vector<SuspectReport>
   withVerdicts(std::vector<SuspectReport> reports) const;
@@ -134,8 +149,8 @@
   BlameMap Blamed;
   /// Since when parts have had MaxUncertainEnds ends without service.
   std::map<RequestFingerprint, base::Instant> PendingSince;
-  /// Parts of which other gateways are certain.
-  std::set<RequestFingerprint> CertainAtPeers;
+  /// Parts that other gateways have quarantined, and whether they are certain.
+  std::map<RequestFingerprint, bool> BlamedAtPeers;
 };
 
 } // namespace drumlanding::gateway
--- a/include/drumlanding/gateway/quarantine.h
+++ b/include/drumlanding/gateway/quarantine.h
@@ -79,6 +79,8 @@
   std::vector<EndReport> Ends;
   /// Time since it was served, or released by an operator.
   std::optional<base::Duration> ClearedAge;
+  /// The reporting gateway has quarantined the part.
+  bool IsBlamed = false;
   /// The reporting gateway is certain that the part ends servers.
   bool IsCertain = false;
 };
@@ -93,6 +95,8 @@
 /// What counts against a request.
 struct SuspectEvidence {
   RequestFingerprint Fingerprint;
+  std::string Organisation;
+  std::string Part;
   std::vector<CountedEnd> Ends;
   /// It has been served at some time, before these ends.
   bool HasBeenServed = false;
@@ -113,6 +117,8 @@
   static constexpr base::seconds EvidenceRetention{600};
   /// Bounds memory. Requests with the fewest ends are evicted first.
   static constexpr std::size_t MaxSuspects = 1'024;
+  /// The ends that are kept for one request: the latest.
+  static constexpr std::size_t MaxEnds = 16;
   /// Bounds the size of a message between gateways.
   static constexpr std::size_t MaxReports = 32;
   /// Time from a claim until it holds: messages of gateways that claimed the
@@ -204,9 +210,6 @@
   void evict(base::Instant now);
 
   bool isEmpty() const { return Suspects.empty(); }
-  bool contains(const RequestFingerprint &fingerprint) const {
-    return Suspects.contains(fingerprint);
-  }
   std::size_t count(base::Instant now, State state) const;
 
 private:
--- a/src/gateway/gossip-messages.cc
+++ b/src/gateway/gossip-messages.cc
@@ -73,6 +73,7 @@
   out.set_fingerprint(toBytes(report.Fingerprint));
   out.set_organisation(report.Organisation);
   out.set_part(report.Part);
+  out.set_is_blamed(report.IsBlamed);
   out.set_is_certain(report.IsCertain);
   out.set_is_cleared(report.ClearedAge.has_value());
   out.set_cleared_age_ms(toMs(report.ClearedAge.value_or(base::Duration(0))));
@@ -94,6 +95,7 @@
     return std::nullopt;
   SuspectReport out{
       *fingerprint, suspect.organisation(), suspect.part(), {}, {}};
+  out.IsBlamed = suspect.is_blamed();
   out.IsCertain = suspect.is_certain();
   if (suspect.is_cleared())
     out.ClearedAge = milliseconds(suspect.cleared_age_ms());
--- a/src/gateway/part-quarantine.cc
+++ b/src/gateway/part-quarantine.cc
@@ -95,6 +95,47 @@
   return delay;
 }
 
+using EvidenceList = std::vector<const SuspectEvidence *>;
+
+/// Returns the time from which the ends of all other organisations are known:
+/// of each the latest are kept.
+base::Instant othersKnownSince(const std::string &organisation,
+                               const EvidenceList &organisations) {
+  base::Instant since{};
+  for (const SuspectEvidence *other : organisations)
+    if (other->Organisation != organisation &&
+        other->Ends.size() == Quarantine::MaxEnds)
+      since = std::max(since, sortedTimes(other->Ends).front());
+  return since;
+}
+
+/// Returns whether another organisation had a request on each of the servers:
+/// it may have ended them, whatever the parts of its prompts.
+bool isSharedByAnother(const Candidate &candidate,
+                       const EvidenceList &organisations) {
+  return std::any_of(
+      organisations.begin(), organisations.end(),
+      [&](const SuspectEvidence *other) {
+        if (other->Organisation == candidate.Evidence->Organisation)
+          return false;
+        const std::set<EndKey> keys = keysOf(other->Ends);
+        return std::all_of(
+            candidate.Unexplained.begin(), candidate.Unexplained.end(),
+            [&](const CountedEnd &end) { return keys.contains(keyOf(end)); });
+      });
+}
+
+/// Returns whether the part may be blamed: no other organisation may be the
+/// cause of its ends. Drops the ends for which this is not known any more.
+bool mayBeBlamed(Candidate &candidate, const EvidenceList &organisations) {
+  const base::Instant since =
+      othersKnownSince(candidate.Evidence->Organisation, organisations);
+  std::erase_if(candidate.Unexplained,
+                [&](const CountedEnd &end) { return end.ObservedAt < since; });
+  return candidate.Unexplained.size() >= PartQuarantine::MaxEndedServers &&
+         !isSharedByAnother(candidate, organisations);
+}
+
 /// Removes the ends that are explained, and the candidates that have too few
 /// others.
 void removeExplained(std::vector<Candidate> &candidates,
@@ -137,9 +178,22 @@
 }
 
 void PartQuarantine::recordEnd(base::Instant now,
-                               const UnansweredRequest &unanswered) {
-  Evidence.recordEnd(now, unanswered);
-  noteServed(now, unanswered.Fingerprint);
+                               const UnansweredPrompt &unanswered) {
+  const std::string &organisation = unanswered.Organisation;
+  UnansweredRequest request;
+  request.Organisation = organisation;
+  request.Server = unanswered.Server;
+  request.SentAt = unanswered.SentAt;
+  request.Kind = unanswered.Kind;
+  // No part has an empty id.
+  request.Fingerprint = makePartFingerprint(organisation, "");
+  Evidence.recordEnd(now, request);
+  for (const std::string &part : unanswered.Parts) {
+    request.Fingerprint = makePartFingerprint(organisation, part);
+    request.Part = part;
+    Evidence.recordEnd(now, request);
+    noteServed(now, request.Fingerprint);
+  }
 }
 
 void PartQuarantine::recordHarmless(base::Instant now,
@@ -184,10 +238,12 @@
                                  const SuspectReport &report) {
   Evidence.applyReport(now, from, report);
   noteServed(now, report.Fingerprint);
-  if (report.IsCertain)
-    CertainAtPeers.insert(report.Fingerprint);
-  else
-    CertainAtPeers.erase(report.Fingerprint);
+  if (report.IsBlamed)
+    BlamedAtPeers[report.Fingerprint] |= report.IsCertain;
+}
+
+bool PartQuarantine::isBlamedAnywhere(const RequestFingerprint &part) const {
+  return Blamed.contains(part) || BlamedAtPeers.contains(part);
 }
 
 bool PartQuarantine::isCertain(const RequestFingerprint &part) const {
@@ -197,8 +253,10 @@
 
 std::vector<SuspectReport>
 PartQuarantine::withVerdicts(std::vector<SuspectReport> reports) const {
-  for (SuspectReport &report : reports)
+  for (SuspectReport &report : reports) {
+    report.IsBlamed = isQuarantined(report.Fingerprint);
     report.IsCertain = isCertain(report.Fingerprint);
+  }
   return reports;
 }
 
@@ -228,9 +286,23 @@
   const std::vector<SuspectEvidence> evidence =
       Evidence.evidence(now, MaxEndedServers);
   updatePending(now, evidence);
+  std::erase_if(BlamedAtPeers, [&](const auto &entry) {
+    return std::none_of(evidence.begin(), evidence.end(), [&](const auto &e) {
+      return e.Fingerprint == entry.first;
+    });
+  });
+  EvidenceList organisations;
   std::vector<Candidate> candidates;
-  for (const SuspectEvidence &found : evidence)
-    candidates.push_back({&found, found.Ends});
+  for (const SuspectEvidence &found : evidence) {
+    if (found.Part.empty())
+      organisations.push_back(&found);
+    else
+      candidates.push_back({&found, found.Ends});
+  }
+  std::erase_if(candidates, [&](Candidate &candidate) {
+    return !isBlamedAnywhere(candidate.Evidence->Fingerprint) &&
+           !mayBeBlamed(candidate, organisations);
+  });
   const bool isLearning = !FirstServedAt || now - *FirstServedAt < LearningTime;
   BlameMap causes;
   while (!candidates.empty()) {
@@ -247,9 +319,12 @@
     const std::vector<base::Instant> times = sortedTimes(best.Unexplained);
     const auto known = Blamed.find(best.Evidence->Fingerprint);
     const bool wasUncertain = known != Blamed.end() && !known->second.IsCertain;
-    const bool mayBeCertain =
-        CertainAtPeers.contains(best.Evidence->Fingerprint) ||
-        (!isLearning && !wasUncertain);
+    const auto atPeers = BlamedAtPeers.find(best.Evidence->Fingerprint);
+    const bool isCertainAtPeers =
+        atPeers != BlamedAtPeers.end() && atPeers->second;
+    const bool mayBeCertain = isCertain(best.Evidence->Fingerprint) ||
+                              isCertainAtPeers ||
+                              (!isLearning && !wasUncertain);
     const bool isOnlyCause = countRivals(candidates, best, ends) == 1 &&
                              !best.Evidence->HasBeenServed &&
                              countOccasions(times) >= MaxEndedServers;
@@ -288,9 +363,6 @@
 void PartQuarantine::update(base::Instant now) {
   if (Evidence.isEmpty() && Blamed.empty())
     return;
-  std::erase_if(CertainAtPeers, [&](const RequestFingerprint &part) {
-    return !Evidence.contains(part);
-  });
   const BlameMap before = std::exchange(Blamed, findCauses(now));
   if (!OnChange)
     return;
--- a/src/gateway/quarantine.cc
+++ b/src/gateway/quarantine.cc
@@ -16,8 +16,6 @@
 constexpr base::milliseconds ClaimTimeout{1'500};
 /// Ends of one server that are counted separately, at most.
 constexpr std::uint32_t MaxOccurrences = Quarantine::MaxEndedServers;
-/// Ends kept for one request, those that do not count included.
-constexpr std::size_t MaxEnds = 16;
 constexpr std::uint64_t BestRank = 0;
 /// Messages to the other gateways that carry a change, in case one is lost.
 constexpr int SendsPerChange = 2;
@@ -338,7 +336,11 @@
   for (const auto &[fingerprint, suspect] : Suspects) {
     if (suspect.Ends.size() < minEnds || endCount(now, suspect) < minEnds)
       continue;
-    SuspectEvidence found{fingerprint, {}, suspect.ClearedAt.has_value()};
+    SuspectEvidence found;
+    found.Fingerprint = fingerprint;
+    found.Organisation = suspect.Organisation;
+    found.Part = suspect.Part;
+    found.HasBeenServed = suspect.ClearedAt.has_value();
     for (const End &end : suspect.Ends)
       if (counts(now, suspect, end))
         found.Ends.push_back({end.Server, end.Occurrence, end.ObservedAt});
--- a/src/gateway/suspect-requests.cc
+++ b/src/gateway/suspect-requests.cc
@@ -270,11 +270,9 @@
   f.Ctx.Suspects.recordEnd(now, unanswered);
   if (hasSurvived(f))
     return;
-  for (std::size_t i = 0; i < f.PartFingerprints.size(); ++i) {
-    unanswered.Fingerprint = f.PartFingerprints[i];
-    unanswered.Part = f.Request.SharedPromptParts[i];
-    f.Ctx.SuspectParts.recordEnd(now, unanswered);
-  }
+  f.Ctx.SuspectParts.recordEnd(now,
+                               {unanswered.Organisation, unanswered.Server,
+                                f.SentAt, kind, f.Request.SharedPromptParts});
   f.Ctx.SuspectParts.update(now);
 }
 
@@ -381,6 +379,9 @@
     list.push_back(toJson(report, status));
   }
   for (const SuspectReport &report : ctx.SuspectParts.reports(now)) {
+    // Organisations are listed among the evidence too.
+    if (report.Part.empty())
+      continue;
     const RequestFingerprint &id = report.Fingerprint;
     SuspectStatus status;
     status.IsQuarantined = ctx.SuspectParts.isQuarantined(id);
--- a/test/part-quarantine-test.cc
+++ b/test/part-quarantine-test.cc
@@ -32,16 +32,16 @@
   /// A server ends with requests that have these parts.
   void end(base::Instant at, int n, const std::vector<std::string> &parts,
            const std::string &organisation = "school") {
-    for (const std::string &id : parts) {
-      UnansweredRequest request;
-      request.Fingerprint = part(id, organisation);
-      request.Organisation = organisation;
-      request.Server = server(n);
-      request.SentAt = at - milliseconds(300);
-      request.Part = id;
-      Q.recordEnd(at, request);
-    }
-    Q.update(at);
+    record(Q, at, server(n), parts, organisation);
+  }
+
+  static void record(PartQuarantine &q, base::Instant at,
+                     const ServerInstance &server,
+                     const std::vector<std::string> &parts,
+                     const std::string &organisation = "school") {
+    q.recordEnd(at, {organisation, server, at - milliseconds(300),
+                     EndKind::Closed, parts});
+    q.update(at);
   }
 
   bool isQuarantined(base::Instant at, const std::string &id) {
@@ -134,14 +134,8 @@
 /// its former lives.
 TEST_F(PartQuarantineTest, EndsOfARestartedServerAreDistinct) {
   const auto endLife = [this](int life, const std::string &id) {
-    const base::Instant at = Start + milliseconds(200 * life);
-    UnansweredRequest request;
-    request.Fingerprint = part(id);
-    request.Organisation = "school";
-    request.Server = {"s0", seconds(life + 1)};
-    request.SentAt = at;
-    Q.recordEnd(at, request);
-    Q.update(at);
+    record(Q, Start + milliseconds(200 * life), {"s0", seconds(life + 1)},
+           {id});
   };
   for (int life = 0; life < 3; ++life)
     endLife(life, "a");
@@ -178,13 +172,7 @@
   PartQuarantine started(base::Random(2));
   for (int n = 0; n < 3; ++n) {
     const base::Instant at = Start + milliseconds(200 * n);
-    UnansweredRequest request;
-    request.Fingerprint = part("first");
-    request.Organisation = "school";
-    request.Server = server(n);
-    request.SentAt = at;
-    started.recordEnd(at, request);
-    started.update(at);
+    record(started, at, server(n), {"first"});
   }
   EXPECT_FALSE(started.isQuarantined(part("first")));
 }
@@ -203,12 +191,7 @@
   for (int n = 0; n < 3; ++n) {
     const base::Instant at = Start + milliseconds(200 * n);
     PartQuarantine &observer = n == 1 ? other : Q;
-    UnansweredRequest request;
-    request.Fingerprint = part("deadly");
-    request.Organisation = "school";
-    request.Server = server(n);
-    request.SentAt = at;
-    observer.recordEnd(at, request);
+    record(observer, at, server(n), {"deadly"});
     exchange(at + milliseconds(5));
   }
   EXPECT_TRUE(Q.isQuarantined(part("deadly")));
@@ -222,6 +205,22 @@
   EXPECT_TRUE(started.isQuarantined(part("deadly")));
 }
 
+/// Guards against an organisation that ends servers under a new part each time,
+/// and so has another one's part blamed that is on all of them (issue 32).
+TEST_F(PartQuarantineTest, AnOrganisationThatVariesItsPartsPoisonsNoOther) {
+  for (int n = 0; n < 30; ++n) {
+    const base::Instant at = Start + milliseconds(200 * n);
+    // Some of its prompts have no shared part.
+    end(at, n,
+        n % 2 == 0 ? std::vector<std::string>{}
+                   : std::vector<std::string>{"varied" + std::to_string(n)},
+        "council");
+    end(at, n, {"victim"});
+    EXPECT_FALSE(isQuarantined(at, "victim")) << n;
+  }
+  EXPECT_FALSE(isQuarantined(Start + seconds(60), "victim"));
+}
+
 TEST_F(PartQuarantineTest, AServerThatLivesOnWithdrawsItsEnd) {
   for (int n = 0; n < 3; ++n)
     end(Start + milliseconds(200 * n), n, {"deadly"});
@@ -266,6 +265,10 @@
       progress();
       if (Random.chance(CrashChance))
         crash(static_cast<int>(Random.below(Engines)));
+      for (int o = 1; o < Organisations; ++o)
+        for (const char *id : {"first", "hot"})
+          PoisonedTicks +=
+              Q.isQuarantined(part(id, "org" + std::to_string(o))) ? 1 : 0;
     }
   }
 
@@ -277,6 +280,12 @@
   PartQuarantine Q{base::Random(7)};
   /// Chance per tick that an engine ends by itself.
   double CrashChance = 0.02;
+  /// Deadly requests have a new part each time.
+  bool VariesDeadlyPart = false;
+  /// The requests of all other organisations have a second part in common.
+  bool HasHotPart = false;
+  /// Ticks in which a part of another organisation was quarantined.
+  int PoisonedTicks = 0;
 
 private:
   struct Run {
@@ -290,11 +299,14 @@
   };
 
   void send(bool withDeadly) {
-    if (Random.chance(0.4))
-      add(static_cast<int>(Random.below(Organisations)),
-          "new" + std::to_string(++LastPart), false);
+    const std::string newPart = "new" + std::to_string(++LastPart);
+    if (Random.chance(0.4)) {
+      const int organisation = static_cast<int>(Random.below(Organisations));
+      const bool isHot = HasHotPart && organisation > 0;
+      add(organisation, isHot ? "hot" : newPart, false);
+    }
     if (withDeadly && Random.chance(0.1))
-      add(0, "deadly", true);
+      add(0, VariesDeadlyPart ? newPart : "deadly", true);
   }
 
   void add(int organisation, std::string second, bool isDeadly) {
@@ -375,15 +387,8 @@
   }
 
   void blame(const Run &run, int life) {
-    for (const std::string &id : run.Parts) {
-      UnansweredRequest request;
-      request.Fingerprint = part(id, run.Organisation);
-      request.Organisation = run.Organisation;
-      request.Server = server(life);
-      request.SentAt = run.SentAt;
-      request.Part = id;
-      Q.recordEnd(Now, request);
-    }
+    Q.recordEnd(Now, {run.Organisation, server(life), run.SentAt,
+                      EndKind::Closed, run.Parts});
   }
 
   base::Random Random;
@@ -413,6 +418,19 @@
   }
 }
 
+/// Guards against an organisation that has the parts of others refused by
+/// ending the engines under them, with a new part each time (issue 32).
+TEST(PartQuarantineTraffic, NoPartOfAnotherOrganisationIsPoisoned) {
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    Traffic traffic(seed);
+    traffic.CrashChance = 0;
+    traffic.VariesDeadlyPart = true;
+    traffic.HasHotPart = true;
+    traffic.run(seconds(60), Start + seconds(2));
+    EXPECT_EQ(traffic.PoisonedTicks, 0) << seed;
+  }
+}
+
 /// Guards against the blame of parts when engines end often by themselves.
 TEST(PartQuarantineTraffic, NoPartIsBlamedForPlainCrashes) {
   for (std::uint64_t seed = 1; seed <= 200; ++seed) {
