gateway: Keep quarantined parts in the store

What callers saw, in a test: when all gateways restarted, a part that had been quarantined ended servers anew, since nothing of it outlived them.

Change: the gateways that watch the list for all write quarantined parts to the store under leases of ten minutes, and mark them when they are released; each gateway reads them when it starts, and again until the store answers.

--- a/include/drumlanding/gateway/part-quarantine.h
+++ b/include/drumlanding/gateway/part-quarantine.h
@@ -103,6 +103,11 @@
   bool isQuarantined(const RequestFingerprint &part) const {
     return Blamed.contains(part);
   }
+  /// Returns whether this gateway has quarantined the part, or another one has
+  /// reported that it has, and the evidence still counts.
+  bool isBlamedAnywhere(const RequestFingerprint &part) const;
+  /// Returns the reports on all quarantined parts.
+  std::vector<SuspectReport> blamedReports(base::Instant now) const;
   /// Returns the time until one request with a quarantined part may be sent.
   base::Duration timeUntilTrial(base::Instant now,
                                 const RequestFingerprint &part) const;
@@ -137,7 +142,6 @@
                      std::span<const SuspectEvidence> evidence);
   bool isConfirmed(base::Instant now, const RequestFingerprint &part) const;
   bool isCertain(const RequestFingerprint &part) const;
-  bool isBlamedAnywhere(const RequestFingerprint &part) const;
   /// Adds this gateway's verdicts to the evidence.
   std::vector<SuspectReport>
   withVerdicts(std::vector<SuspectReport> reports) const;
--- a/include/drumlanding/gateway/store-reader.h
+++ b/include/drumlanding/gateway/store-reader.h
@@ -7,6 +7,7 @@
 
 #include "drumlanding/base/result.h"
 #include "drumlanding/gateway/config.h"
+#include "drumlanding/gateway/part-store.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <cstdint>
@@ -60,6 +61,8 @@
                                            base::milliseconds wait)>
       WatchServers;
   std::function<base::Result<Config>(std::string_view)> DecodeConfig;
+  /// Unset if no parts are kept.
+  PartStore Parts;
 };
 
 } // namespace drumlanding::gateway
--- a/src/gateway/part-quarantine.cc
+++ b/src/gateway/part-quarantine.cc
@@ -260,6 +260,15 @@
   return reports;
 }
 
+std::vector<SuspectReport>
+PartQuarantine::blamedReports(base::Instant now) const {
+  std::vector<SuspectReport> reports;
+  for (const auto &[part, blame] : Blamed)
+    if (auto report = Evidence.findReport(now, part))
+      reports.push_back(std::move(*report));
+  return withVerdicts(std::move(reports));
+}
+
 std::vector<SuspectReport> PartQuarantine::reports(base::Instant now) const {
   return withVerdicts(Evidence.reports(now, MinReportedEnds));
 }
--- a/src/gateway/shell.cc
+++ b/src/gateway/shell.cc
@@ -1,6 +1,7 @@
 #include "shell.h"
 
 #include "gateway-metrics.h"
+#include "saved-parts.h"
 #include "store-watch.h"
 
 #include "drumlanding/daemon/sleep.h"
@@ -111,6 +112,7 @@
   asio::co_spawn(io, watchConfig(shell->Ctx), asio::detached);
   asio::co_spawn(io, watchServers(shell->Ctx), asio::detached);
   asio::co_spawn(io, measureDelay(shell->Ctx), asio::detached);
+  asio::co_spawn(io, keepSavedParts(shell->Ctx), asio::detached);
   shell->Ctx.Log.write("started", {{"zone", shell->Ctx.Settings.Zone},
                                    {"incarnation", shell->Ctx.Incarnation}});
   return shell;
--- a/test/mortal-servers.h
+++ b/test/mortal-servers.h
@@ -20,6 +20,7 @@
 #include <gtest/gtest.h>
 #include <nlohmann/json.hpp>
 #include <set>
+#include <span>
 #include <sstream>
 
 namespace drumlanding::gateway::test {
@@ -406,6 +407,23 @@
     s.DecodeConfig = [](std::string_view) -> base::Result<Config> {
       return makeConfig();
     };
+    s.Parts.Read =
+        [this]() -> StoreReader::AsyncResult<std::vector<SavedPart>> {
+      std::vector<SavedPart> parts;
+      for (const auto &[name, part] : SavedParts)
+        parts.push_back(part);
+      co_return parts;
+    };
+    s.Parts.Write =
+        [this](SavedPart part,
+               milliseconds) -> StoreReader::AsyncResult<SavedPart> {
+      SavedPart &stored = SavedParts[part.Name];
+      if (stored.Revision != part.Revision)
+        co_return stored;
+      ++part.Revision;
+      stored = std::move(part);
+      co_return stored;
+    };
     return s;
   }
 
@@ -497,8 +515,9 @@
     settings.Listen = freeEndpoint();
     settings.ReadyListen = freeEndpoint();
     settings.ControlListen = freeEndpoint();
-    if (hasSeed && !Gateways.empty())
-      settings.Seeds = {Gateways[0]->context().Settings.ControlListen};
+    if (hasSeed && Gateways.size() > FirstGateway)
+      settings.Seeds = {
+          Gateways[FirstGateway]->context().Settings.ControlListen};
     settings.Retries = {1, 1'000, seconds(10)};
     settings.RenewalInterval = RenewalInterval;
     auto shell = Shell::start(Io, Clock, settings,
@@ -513,8 +532,20 @@
       startGateway(hearEachOther);
   }
 
+  /// Starts gateways that know none of those before, which get no further
+  /// requests.
+  void replaceGateways(int count) {
+    FirstGateway = Gateways.size();
+    startGateways(count);
+  }
+
+  /// The gateways that get requests.
+  std::span<const std::unique_ptr<Shell>> gateways() const {
+    return std::span(Gateways).subspan(FirstGateway);
+  }
+
   asio::awaitable<void> waitUntilReady() {
-    for (const auto &gateway : Gateways)
+    for (const auto &gateway : gateways())
       while (!gateway->context().isReady())
         co_await sleepFor(PollInterval);
     while (HearEachOther && !doAllKnowEachOther())
@@ -522,11 +553,11 @@
   }
 
   bool doAllKnowEachOther() const {
-    return std::all_of(
-        Gateways.begin(), Gateways.end(), [this](const auto &gateway) {
-          return gateway->context().GatewayPeers.live(now()).size() + 1 ==
-                 Gateways.size();
-        });
+    const auto all = gateways();
+    return std::all_of(all.begin(), all.end(), [&](const auto &gateway) {
+      return gateway->context().GatewayPeers.live(now()).size() + 1 ==
+             all.size();
+    });
   }
 
   template <typename Body> void runTest(Body body) {
@@ -554,8 +585,9 @@
     http::Request request{"GET", std::move(path), std::move(headers), {}};
     request.Headers.push_back({"Host", "a.example"});
     request.Headers.push_back({"X-Attempt-Id", std::to_string(++LastAttempt)});
+    const auto all = gateways();
     const base::Endpoint to =
-        Gateways[gateway % Gateways.size()]->context().Settings.Listen;
+        all[gateway % all.size()]->context().Settings.Listen;
     http::FetchResult fetched =
         co_await http::fetch(to, std::move(request), seconds(3));
     http::Response none;
@@ -651,9 +683,13 @@
   /// Entries of servers that have ended.
   std::vector<ListedServer> EndedEntries;
   std::vector<std::unique_ptr<Shell>> Gateways;
+  /// The first one of those that get requests.
+  std::size_t FirstGateway = 0;
   std::vector<int> Statuses;
   OrdinaryResults Ordinary;
   std::uint64_t ListRevision = 1;
+  /// The quarantined parts in the store, by name.
+  std::map<std::string, SavedPart> SavedParts;
   int OpenCallers = 0;
   bool HearEachOther = true;
   int LastAttempt = 0;
--- a/test/prompt-part-test.cc
+++ b/test/prompt-part-test.cc
@@ -4,6 +4,8 @@
 
 #include "drumlanding/base/hash.h"
 
+#include <iostream>
+
 namespace drumlanding::gateway::test {
 namespace {
 
@@ -107,6 +109,11 @@
 
   void expectServed(const std::string &organisation) {
     const OrdinaryResults &settled = SettledResults[organisation];
+    const OrdinaryResults &early = EarlyResults[organisation];
+    std::cout << "sound requests of " << organisation << ", before and after "
+              << "the bound applies: " << early.Served << " served, "
+              << early.Failed << " lost; " << settled.Served << " served, "
+              << settled.Failed << " lost\n";
     EXPECT_GT(settled.Served, 100) << organisation;
     EXPECT_EQ(settled.Failed, 0) << organisation;
   }
@@ -167,6 +174,59 @@
   });
 }
 
+/// Guards against gateways that all restart, and let a part that was
+/// quarantined end servers anew (issue 32, BUDGET).
+TEST_F(PromptPartTest, AQuarantinedPartStaysSoWhenAllGatewaysRestart) {
+  constexpr milliseconds Interval{400};
+  startDeployment();
+  runTest([&]() -> asio::awaitable<void> {
+    ++OpenCallers;
+    const auto sound = [](int i) { return Parts{"aa", uniquePart(i)}; };
+    asio::co_spawn(Io, sendSound("school", sound), asio::detached);
+    co_await sleepFor(PartQuarantine::LearningTime + seconds(1));
+    const std::vector<Parts> deadly{{"aa", std::string(DeadlyPart)}};
+    co_await sendDeadly(deadly, Interval);
+    replaceGateways(GatewayCount);
+    const base::Instant restartedAt = now();
+    co_await waitUntilReady();
+    co_await sendDeadly(deadly, Interval);
+    --OpenCallers;
+    // Gateways count as in touch some time after their start.
+    EXPECT_LE(Deadly.arrivalsAfter(restartedAt + ContactTime), MaxLateArrivals)
+        << Deadly.Ends.size() << " servers ended";
+    co_await sleepFor(seconds(1));
+    expectServed("school");
+  });
+}
+
+/// Guards against a part that an operator has released, and that is quarantined
+/// again when the gateways restart.
+TEST_F(PromptPartTest, AReleasedPartIsNotRestored) {
+  constexpr milliseconds Interval{400};
+  startDeployment();
+  runTest([&]() -> asio::awaitable<void> {
+    ++OpenCallers;
+    const auto sound = [](int i) { return Parts{"aa", uniquePart(i)}; };
+    asio::co_spawn(Io, sendSound("school", sound), asio::detached);
+    co_await sleepFor(PartQuarantine::LearningTime + seconds(1));
+    const std::vector<Parts> deadly{{"aa", std::string(DeadlyPart)}};
+    co_await sendDeadly(deadly, Interval);
+    EXPECT_EQ(SavedParts.size(), 1u);
+    // The servers are mended.
+    Deadly.Parts.clear();
+    const http::Response released =
+        co_await operate(1, "DELETE", "/suspects/" + SavedParts.begin()->first);
+    EXPECT_EQ(released.Status, 200);
+    while (!SavedParts.begin()->second.Value.empty())
+      co_await sleepFor(PollInterval);
+    replaceGateways(GatewayCount);
+    co_await waitUntilReady();
+    const int status = co_await generate(0, "school", deadly[0]);
+    EXPECT_EQ(status, 200);
+    --OpenCallers;
+  });
+}
+
 /// Guards against several deadly parts at once that hide each other
 /// (issue 32, BUDGET).
 TEST_F(PromptPartTest, SeveralDeadlyPartsAreFound) {
