review: A stream cut by a lost final copy ends as complete

Cause: after a final copy whose answer was lost, a later 404 from the same server is taken to mean that the run goes on, so the end of a response without a length is taken for the end of the stream. Processes of a case have loopback addresses of their own, and a case that can't run says why.

--- a/review/stand-ins/config.h
+++ b/review/stand-ins/config.h
@@ -19,13 +19,14 @@
 inline constexpr const char *ModelService = "tutor-llm";
 inline constexpr const char *PlainService = "lernapp";
 inline constexpr const char *StreamPath = "/hints/1";
+inline constexpr const char *LongStreamPath = "/answers/1";
 inline constexpr const char *SavePath = "/saves/1";
 inline constexpr const char *SheetPath = "/sheets/1";
 
 /// The other key of the tenant.
 inline constexpr const char *SecondKey = "wsjnbanfqasnmgkcuyj8";
 
-/// Returns a config with a streaming route to the model service, and routes of
+/// Returns a config with streaming routes to the model service, and routes of
 /// both other kinds to the plain service.
 inline std::string makeConfig(const ConfigOptions &options) {
   using Json = nlohmann::json;
@@ -46,7 +47,8 @@
   return Json{
       {"version", options.Version},
       {"routes",
-       {route("hints", "/hints/", "streaming", ModelService, 6'000, 1),
+       {route("answers", "/answers/", "streaming", ModelService, 39'000, 1),
+        route("hints", "/hints/", "streaming", ModelService, 6'000, 1),
         route("saves", "/saves/", "non_idempotent", PlainService, 3'000, 2),
         route("sheets", "/sheets/", "idempotent", PlainService, 3'000, 2)}},
       {"services",
--- a/review/stand-ins/deployment.cc
+++ b/review/stand-ins/deployment.cc
@@ -2,6 +2,7 @@
 
 #include <chrono>
 #include <csignal>
+#include <cstdio>
 #include <cstdlib>
 #include <fcntl.h>
 #include <fstream>
@@ -166,6 +167,7 @@
       return true;
     std::this_thread::sleep_for(Pause);
   }
+  std::fprintf(stderr, "%s is not ready\n", gateway.Name.c_str());
   return false;
 }
 
--- a/review/stand-ins/requests.h
+++ b/review/stand-ins/requests.h
@@ -34,6 +34,17 @@
          id + ":1850\r\nConnection: close\r\nContent-Length: 4\r\n\r\nhint";
 }
 
+/// A long stream, on a channel of its own: 236 events of four tokens.
+inline std::string longStreamRequest(const std::string &id, int promptTokens) {
+  constexpr int DeadlineMs = 39'000;
+  const std::string tokens = std::to_string(promptTokens);
+  return std::string("POST ") + LongStreamPath + " HTTP/1.1\r\n" +
+         commonHeaders(id, DeadlineMs) +
+         "X-Model: m\r\nX-Token-Usage: " + tokens +
+         ",944\r\nX-Prompt-Prefix: 5c1e07a2:79," + id + ":" + tokens +
+         "\r\nConnection: close\r\nContent-Length: 4\r\n\r\nhint";
+}
+
 /// A request that may be repeated, on a channel of its own.
 inline std::string sheetRequestWithKey(const std::string &id,
                                        const std::string &key) {
--- a/review/stand-ins/web.cc
+++ b/review/stand-ins/web.cc
@@ -31,9 +31,14 @@
 }
 
 std::string loopback(int group, int number) {
-  constexpr int Processes = 200;
-  return "127." + std::to_string(1 + ::getpid() % Processes) + "." +
-         std::to_string(group) + "." + std::to_string(number);
+  constexpr int SecondNumbers = 250;
+  constexpr int Blocks = 24;
+  constexpr int GroupsPerBlock = 10;
+  const int process = ::getpid();
+  const int block = process / SecondNumbers % Blocks;
+  return "127." + std::to_string(1 + process % SecondNumbers) + "." +
+         std::to_string(block * GroupsPerBlock + group) + "." +
+         std::to_string(number);
 }
 
 Address freeAddress(const std::string &ip) {
--- a/review/stand-ins/web.h
+++ b/review/stand-ins/web.h
@@ -31,8 +31,8 @@
 
 std::string toString(const Address &address);
 
-/// Returns a loopback IP. The second number differs between processes, so that
-/// cases can run at the same time.
+/// Returns a loopback IP; `group` is from 0 to 9. Processes have IPs of their
+/// own, so that cases can run at the same time.
 std::string loopback(int group, int number);
 
 /// Returns an address with a port that is free now.
--- a/review/stand-ins/worker.cc
+++ b/review/stand-ins/worker.cc
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <chrono>
+#include <cstdlib>
 #include <nlohmann/json.hpp>
+#include <sys/socket.h>
 
 namespace drumlanding::review {
 namespace {
@@ -13,6 +15,10 @@
 constexpr milliseconds RenewalInterval{1'200};
 /// The platform removes an entry after this many missed renewals.
 constexpr int MissedRenewals = 3;
+/// From the pages' example of a config.
+constexpr double BytesPerToken = 18'432;
+constexpr double LinkMbps = 2'700;
+constexpr int TokensPerEvent = 4;
 constexpr const char *AttemptHeader = "X-Attempt-Id";
 constexpr const char *StampHeader = "X-Served-Stamp";
 
@@ -21,8 +27,46 @@
   asio::write(socket, asio::buffer(bytes), ec);
 }
 
+bool sendHead(tcp::socket &socket, const std::string &attemptId,
+              const std::string &worker, bool isUnframed) {
+  boost::system::error_code ec;
+  writeBytes(socket,
+             std::string("HTTP/1.1 200 OK\r\n"
+                         "Content-Type: text/event-stream\r\n") +
+                 (isUnframed ? "Connection: close\r\n"
+                             : "Transfer-Encoding: chunked\r\n") +
+                 AttemptHeader + ": " + attemptId + "\r\n" + StampHeader +
+                 ": stamp." + worker + "\r\n\r\n",
+             ec);
+  return !ec;
+}
+
+bool sendPart(tcp::socket &socket, const std::string &bytes, bool isUnframed) {
+  boost::system::error_code ec;
+  char size[16];
+  std::snprintf(size, sizeof(size), "%zx\r\n", bytes.size());
+  writeBytes(socket, isUnframed ? bytes : size + bytes + "\r\n", ec);
+  return !ec;
+}
+
 } // namespace
 
+std::string CopyTable::add(const std::string &attemptId) {
+  const std::lock_guard guard(Lock);
+  const std::string handle = "h" + std::to_string(++LastHandle);
+  Attempts[handle] = attemptId;
+  return handle;
+}
+
+bool CopyTable::take(const std::string &handle, const std::string &attemptId) {
+  const std::lock_guard guard(Lock);
+  const auto it = Attempts.find(handle);
+  if (it == Attempts.end() || it->second != attemptId)
+    return false;
+  Attempts.erase(it);
+  return true;
+}
+
 void RunLog::add(const Run &run) {
   Log.write("worker " + run.Worker + " (" + run.Service + ") runs " +
             run.AttemptId + " " + run.Target);
@@ -91,21 +135,17 @@
   const std::string target(request.target());
   const std::string_view path = pathOf(target);
   if (path == "/healthz") {
-    Response health = makeResponse(http::status::ok, "");
+    Response health = makeResponse(
+        IsDraining ? http::status::service_unavailable : http::status::ok, "");
     health.set("X-Instance-Id", Options.Id);
     return respond(socket, health);
   }
-  if (path == "/drumlanding/report" && Options.IsEngine) {
-    const Json report{{"stage", "dual"},
-                      {"busy", false},
-                      {"seq", 1},
-                      {"waiting", 0},
-                      {"running", Running + 0},
-                      {"kvUsed", 0},
-                      {"kvTotal", 34'459},
-                      {"handles", 0}};
-    return respond(socket, makeResponse(http::status::ok, report.dump()));
-  }
+  if (path == "/drumlanding/report" && Options.IsEngine)
+    return report(socket);
+  if (path == "/drumlanding/kv-move" && Options.Copies)
+    return move(request, socket);
+  if (path.starts_with("/drumlanding/kv-handle/"))
+    return respond(socket, makeResponse(http::status::ok, ""));
   if (path.starts_with("/drumlanding/"))
     return respond(socket, makeResponse(http::status::not_found, ""));
   const auto expected = request.find("X-Expect-Instance");
@@ -124,7 +164,7 @@
   ++Running;
   bool isSent = false;
   if (Options.IsEngine) {
-    isSent = stream(socket, attemptId);
+    isSent = stream(request, socket, attemptId);
   } else {
     std::this_thread::sleep_for(milliseconds(Options.WorkMs));
     Response response =
@@ -137,25 +177,101 @@
   return isSent;
 }
 
-bool Worker::stream(tcp::socket &socket, const std::string &attemptId) {
-  boost::system::error_code ec;
-  writeBytes(socket,
-             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-             "Transfer-Encoding: chunked\r\nX-Attempt-Id: " +
-                 attemptId + "\r\nX-Served-Stamp: stamp." + Options.Id +
-                 "\r\n\r\n",
-             ec);
-  for (int i = 1; i <= Options.Events && !ec; ++i) {
+bool Worker::report(tcp::socket &socket) {
+  const Json state{{"stage", "dual"},
+                   {"busy", false},
+                   {"seq", 1},
+                   {"waiting", 0},
+                   {"running", Running.load()},
+                   {"kvUsed", 0},
+                   {"kvTotal", 34'459},
+                   {"handles", 0},
+                   {"state", IsDraining ? "draining" : "ready"}};
+  return respond(socket, makeResponse(http::status::ok, state.dump()));
+}
+
+bool Worker::stream(const Request &request, tcp::socket &socket,
+                    const std::string &attemptId) {
+  const auto generation = std::make_shared<Generation>();
+  const std::string usage(request["X-Token-Usage"]);
+  generation->PromptTokens = std::atoi(usage.c_str());
+  const std::string from(request["Kv-From"]);
+  if (!from.empty()) {
+    const std::string handle = from.substr(from.find('/') + 1);
+    if (!Options.Copies || !Options.Copies->take(handle, attemptId)) {
+      Response refusal = makeResponse(http::status::service_unavailable, "");
+      refusal.set("X-Not-Run", "1");
+      refusal.set(AttemptHeader, attemptId);
+      return respond(socket, refusal);
+    }
+    generation->Made = std::atoi(std::string(request["Last-Event-Id"]).c_str());
+  }
+  {
+    const std::lock_guard guard(Lock);
+    Generations[attemptId] = generation;
+  }
+  const bool isUnframed = Options.IsUnframed && Options.IsUnframed(attemptId);
+  bool isSent = sendHead(socket, attemptId, Options.Id, isUnframed);
+  bool isStopped = false;
+  while (isSent && !isStopped) {
     std::this_thread::sleep_for(milliseconds(Options.EventGapMs));
-    const std::string event =
-        "id: " + std::to_string(i) + "\ndata: " + attemptId + "\n\n";
-    char size[16];
-    std::snprintf(size, sizeof(size), "%zx\r\n", event.size());
-    writeBytes(socket, size + event + "\r\n", ec);
+    const std::lock_guard guard(Lock);
+    isStopped = generation->IsStopped || generation->Made == Options.Events;
+    if (isStopped)
+      break;
+    const std::string id = std::to_string(++generation->Made);
+    isSent = sendPart(socket, "id: " + id + "\ndata: " + attemptId + "\n\n",
+                      isUnframed);
+  }
+  const std::lock_guard guard(Lock);
+  Generations.erase(attemptId);
+  generation->HasEnded = true;
+  // A run that was stopped closes its channel without its end.
+  if (!isSent || generation->IsStopped || isUnframed) {
+    boost::system::error_code ec;
+    socket.shutdown(tcp::socket::shutdown_send, ec);
+    return false;
   }
-  if (!ec)
-    writeBytes(socket, "0\r\n\r\n", ec);
+  boost::system::error_code ec;
+  writeBytes(socket, "0\r\n\r\n", ec);
   return !ec;
 }
 
+/// Copies a run's memory to another worker. The last copy stops the run first.
+bool Worker::move(const Request &request, tcp::socket &socket) {
+  const Json call = Json::parse(request.body());
+  const std::string attemptId = call.at("id").get<std::string>();
+  const bool isLast = call.value("last", false);
+  std::shared_ptr<Generation> generation;
+  {
+    const std::lock_guard guard(Lock);
+    const auto it = Generations.find(attemptId);
+    if (it != Generations.end() && it->second->Made > 0)
+      generation = it->second;
+    if (generation && isLast)
+      generation->IsStopped = true;
+  }
+  if (!generation)
+    return respond(socket, makeResponse(http::status::not_found, "{}"));
+  const double tokens =
+      generation->PromptTokens + TokensPerEvent * generation->Made;
+  const double ms = tokens * BytesPerToken * 8 / LinkMbps / 1'000;
+  std::this_thread::sleep_for(milliseconds(static_cast<int>(isLast ? 60 : ms)));
+  if (Options.LosesMove && Options.LosesMove(attemptId, isLast)) {
+    const linger noLinger{1, 0};
+    ::setsockopt(socket.native_handle(), SOL_SOCKET, SO_LINGER, &noLinger,
+                 sizeof(noLinger));
+    return false;
+  }
+  const Json answer{{"handle", Options.Copies->add(attemptId)},
+                    {"made", generation->Made.load()}};
+  return respond(socket, makeResponse(http::status::ok, answer.dump()));
+}
+
+void Worker::drain() {
+  IsDraining = true;
+  constexpr int Sequence = 1'000;
+  Entries.put("servers/" + Options.Id, entry(Sequence));
+}
+
 } // namespace drumlanding::review
--- a/review/stand-ins/worker.h
+++ b/review/stand-ins/worker.h
@@ -18,6 +18,20 @@
 
 namespace drumlanding::review {
 
+/// The copies of runs' memory at model workers, by handle.
+class CopyTable {
+public:
+  /// Adds a copy and returns its handle.
+  std::string add(const std::string &attemptId);
+  /// Takes a copy, which serves a single time. Returns false if there is none.
+  bool take(const std::string &handle, const std::string &attemptId);
+
+private:
+  std::mutex Lock;
+  int LastHandle = 0;
+  std::map<std::string, std::string> Attempts;
+};
+
 struct WorkerOptions {
   std::string Id;
   std::string Service;
@@ -30,6 +44,13 @@
   /// Events of a stream, and the time between them.
   int Events = 4;
   int EventGapMs = 20;
+  /// Model workers that move runs share a table.
+  CopyTable *Copies = nullptr;
+  /// Returns whether the answer to a request lacks a length, and finishes with
+  /// its channel.
+  std::function<bool(const std::string &attemptId)> IsUnframed;
+  /// Returns whether the channel of a move is reset before the answer arrives.
+  std::function<bool(const std::string &attemptId, bool isLast)> LosesMove;
 };
 
 /// A request that a worker ran.
@@ -59,6 +80,10 @@
   Worker(WorkerOptions options, Store &store, RunLog &runs);
   ~Worker();
 
+  /// Says `draining` and serves on.
+  void drain();
+  const WorkerOptions &options() const { return Options; }
+
   /// Ends without a word: resets all connections and no longer renews the
   /// entry, which the platform removes after three missed renewals.
   void crash();
@@ -66,17 +91,31 @@
 private:
   bool serve(const Request &request, tcp::socket &socket);
   bool run(const Request &request, tcp::socket &socket);
-  bool stream(tcp::socket &socket, const std::string &attemptId);
+  bool stream(const Request &request, tcp::socket &socket,
+              const std::string &attemptId);
+  bool move(const Request &request, tcp::socket &socket);
+  bool report(tcp::socket &socket);
   void renew();
   std::string entry(int sequence) const;
 
   WorkerOptions Options;
   Store &Entries;
   RunLog &Runs;
+  /// A stream that is being made.
+  struct Generation {
+    int PromptTokens = 0;
+    std::atomic<int> Made{0};
+    bool IsStopped = false;
+    bool HasEnded = false;
+  };
+
   std::atomic<int> Running{0};
+  std::atomic<bool> IsDraining{false};
   std::mutex Lock;
   std::condition_variable Stopped;
   bool IsStopping = false;
+  /// Guarded by Lock.
+  std::map<std::string, std::shared_ptr<Generation>> Generations;
   std::unique_ptr<WebServer> Server;
   std::thread Renewal;
 };
