--- a/review/stand-ins/worker.cc
+++ b/review/stand-ins/worker.cc
@@ -216,6 +216,9 @@
   while (isSent && !isStopped) {
     std::this_thread::sleep_for(milliseconds(Options.EventGapMs));
     const std::lock_guard guard(Lock);
+    // After a crash the channel is reset.
+    if (IsStopping)
+      return false;
     isStopped = generation->IsStopped || generation->Made == Options.Events;
     if (isStopped)
       break;
