review: Every folder is a case

Cause: the shared stand-ins stood in a folder that looked like a case without a claim. Done: their files stand in review/ itself; review/build.sh names the objects that it links, so that old ones can't get in. The code of the cases is the same but for the paths of its includes.

--- a/review/1/case.cc
+++ b/review/1/case.cc
@@ -2,11 +2,11 @@
 // stream's answer has no length and finishes with its channel. The channel of
 // the last call that moves it is reset after the worker has stopped the run.
 // The case looks for a stream that ends as complete before its last event.
-#include "../stand-ins/config.h"
-#include "../stand-ins/deployment.h"
-#include "../stand-ins/requests.h"
-#include "../stand-ins/store.h"
-#include "../stand-ins/worker.h"
+#include "../config.h"
+#include "../deployment.h"
+#include "../requests.h"
+#include "../store.h"
+#include "../worker.h"
 
 #include <atomic>
 #include <chrono>
--- a/review/3/case.cc
+++ b/review/3/case.cc
@@ -1,11 +1,11 @@
 // Operators take the only tenant away with its two keys. Long after the config
 // had to be in force, requests come with the keys that were taken away, and
 // with one that no config ever held.
-#include "../stand-ins/config.h"
-#include "../stand-ins/deployment.h"
-#include "../stand-ins/requests.h"
-#include "../stand-ins/store.h"
-#include "../stand-ins/worker.h"
+#include "../config.h"
+#include "../deployment.h"
+#include "../requests.h"
+#include "../store.h"
+#include "../worker.h"
 
 #include <chrono>
 #include <cstdio>
--- a/review/build.sh
+++ b/review/build.sh
@@ -1,23 +1,30 @@
 #!/usr/bin/env bash
-# Builds the stand-ins and the cases of the review into build/review.
+# Builds the stand-ins and the cases of the review into build/review. Needs only
+# the compiler and the packages of the deploy file.
 set -eu
 cd "$(dirname "$0")/.."
 out=build/review
 mkdir -p "$out"
-flags=(-std=c++20 -O1 -Wall -pthread -Ireview/stand-ins)
+shared=()
+cases=()
 pids=()
-for source in review/stand-ins/*.cc review/[0-9]*/case.cc; do
-  [ -e "$source" ] || continue
-  object=$out/$(dirname "$source" | tr / -)-$(basename "$source" .cc).o
-  g++ "${flags[@]}" -c "$source" -o "$object" &
+compile() { # SOURCE OBJECT
+  g++ -std=c++20 -O1 -Wall -pthread -c "$1" -o "$2" &
   pids+=($!)
+}
+for source in review/*.cc; do
+  object=$out/shared-$(basename "$source" .cc).o
+  shared+=("$object")
+  compile "$source" "$object"
+done
+for source in review/[0-9]*/case.cc; do
+  n=$(basename "$(dirname "$source")")
+  cases+=("$n")
+  compile "$source" "$out/case-$n.o"
 done
 for pid in "${pids[@]}"; do
   wait "$pid"
 done
-for source in review/[0-9]*/case.cc; do
-  [ -e "$source" ] || continue
-  n=$(basename "$(dirname "$source")")
-  g++ -pthread -o "$out/case-$n" "$out/review-$n-case.o" \
-    "$out"/review-stand-ins-*.o
+for n in "${cases[@]}"; do
+  g++ -pthread -o "$out/case-$n" "$out/case-$n.o" "${shared[@]}"
 done
