gateway: A lost final copy's run counts as stopped until proved otherwise

Its response had neither a length nor chunks, its engine was draining, and the response to the final copy was lost.

Eight copies to i-model-8 and a final one are answered with outcome 1 (no such run), and migrateTo() took the last of them to mean that the run goes on. The stream ended as "whole" in the same millisecond. A 404 is what the engine also says because it has stopped the run.

What a response says about the run is now decided in one place, afterFinalCopy(): only a handle clears an unknown outcome. It works because the state leaves MayBeStopped only towards Stopped, or when the stream has resumed. Related paths, the same cause: - a response with status 200 or 503 that names no handle, such as one that cannot be read, counted as "not stopped": found by the new test NoHandle, which failed too; - "busy" after a lost response: the earlier request may still be at work; - a source that could not be reached has received nothing, and is told apart from one whose response is lost (NotSent). Copies to further destinations no longer wait for a run that was stopped. Looked at and not affected: bodies with a length or chunks, resumption at the source or destination (each has its own response), drumlanding-entry and -agent, whose streams end with an event of their own.

--- a/include/drumlanding/gateway/protocol-codec.h
+++ b/include/drumlanding/gateway/protocol-codec.h
@@ -118,9 +118,10 @@
 struct CopyResponse {
   enum class Outcome {
     Copied,
-    NoSuchRun, ///< The generation has not started, or has ended.
+    NoSuchRun, ///< The generation has not started, has ended or was stopped.
     Busy,      ///< A copy is already in progress.
     NoRoom,    ///< The destination has no room or is unreachable.
+    NotSent,   ///< The source could not be reached; it received nothing.
     Failed,
   };
   Outcome Code = Outcome::Failed;
--- a/src/gateway/migrator.cc
+++ b/src/gateway/migrator.cc
@@ -169,7 +169,9 @@
   const base::Instant startedAt = Ctx.now();
   http::FetchResult fetched = co_await http::fetch(
       source.Listed.Address, std::move(request), CopyTimeout);
-  const CopyResponse response = Ctx.Codec.DecodeCopyResponse(fetched.Outcome);
+  CopyResponse response = Ctx.Codec.DecodeCopyResponse(fetched.Outcome);
+  if (!fetched.IsConnected)
+    response.Code = Outcome::NotSent;
   countMigrationStep(Ctx.Metrics, isLast ? "copied last" : "copied",
                      response.Code == Outcome::Copied);
   Ctx.Log.write("move-copied", {{"request", run->F.Request.AttemptId},
@@ -184,8 +186,8 @@
 
 /// Copies the KV cache while the run continues, at most MaxCopies times, until
 /// the final copy is not delayed by others on the link or only that one fits
-/// before the shutdown. Returns false when the destination accepts no copy or
-/// the run has left the source.
+/// before the shutdown. Returns false when the destination accepts no copy, the
+/// run has left the source, or the source has ended it.
 asio::awaitable<bool> Migrator::copyWhileRunning(StreamRunPointer run,
                                                  Server source,
                                                  Server destination) {
@@ -203,7 +205,11 @@
         co_await freeCopy(source.Listed.Address, response.Handle);
       co_return false;
     }
-    if (response.Code == Outcome::NoRoom || response.Code == Outcome::Failed)
+    if (response.Code == Outcome::NoRoom || response.Code == Outcome::Failed ||
+        response.Code == Outcome::NotSent)
+      co_return false;
+    // Nothing to wait for: an earlier final copy has stopped the run.
+    if (response.Code == Outcome::NoSuchRun && run->State != RunState::Running)
       co_return false;
     if (response.Code == Outcome::Copied)
       copies.recordCopy(Ctx.now() - startedAt);
@@ -253,11 +259,11 @@
   const bool isOnSource = run->isRunningOn(source.Listed.Id);
   if (!isOnSource || !isCopied)
     co_return !isOnSource;
-  run->MayBeStopped = true;
+  const RunState before = run->State;
+  run->State = RunState::MayBeStopped;
   const CopyResponse response =
       co_await copyKvCache(run, source, destination, true);
-  run->MayBeStopped =
-      !response.Handle.empty() || response.Code == Outcome::Failed;
+  run->State = afterFinalCopy(before, response);
   if (response.Handle.empty())
     co_return false;
   // When only the final copy failed, the source has stopped the run and kept
--- a/src/gateway/migrator.h
+++ b/src/gateway/migrator.h
@@ -6,6 +6,7 @@
 #include "forwarded-request.h"
 
 #include "drumlanding/gateway/event-splitter.h"
+#include "drumlanding/gateway/final-copy.h"
 
 #include <list>
 #include <memory>
@@ -31,9 +32,7 @@
   /// A migration is in progress, so the end of the connection may be part of
   /// it.
   bool IsMigrating = false;
-  /// The source has been asked to stop the run, and has not answered that it
-  /// did not.
-  bool MayBeStopped = false;
+  RunState State = RunState::Running;
   /// Where the stream resumes after the source has stopped the run.
   std::optional<ResumePoint> ResumeFrom;
   std::string ResumeServer;
--- a/src/gateway/stream-forwarder.cc
+++ b/src/gateway/stream-forwarder.cc
@@ -239,9 +239,9 @@
     co_return false;
   if (F.IsResponseDelimited)
     co_return true;
-  if (Run->MayBeStopped)
+  if (Run->State != RunState::Running)
     co_await waitForMigration();
-  co_return F.BeganAt && !Run->MayBeStopped;
+  co_return F.BeganAt && Run->State == RunState::Running;
 }
 
 asio::awaitable<void> StreamForwarder::forwardEvents() {
@@ -337,7 +337,7 @@
     co_return false;
   if (!IsHeadSent)
     Head = *head;
-  Run->MayBeStopped = false;
+  Run->State = RunState::Running;
   registerRun(server);
   Migrations.migrateIfLeaving(Run);
   co_return true;
--- a/support/mutants.sh
+++ b/support/mutants.sh
@@ -47,6 +47,7 @@
 silent-gateways-forgotten|src/gateway/request-limits.cc|s/std::clamp\(AvailableShare\(now\), MinShare, 1\.0\)/1.0 + 0 * MinShare/
 limit-never-ends|src/gateway/request-limits.cc|s/  if \(!seen\.RequestsPerSecond\) \{/  if (!seen.RequestsPerSecond) {\n    return;/
 migration-not-counted|src/gateway/migrator.cc|s/    countTowardsLimit\(Ctx, to\.Listed\.Id\);\n//
+lost-final-copy-forgotten|src/gateway/final-copy.cc|s/return before;/return RunState::Running;/
 quarantine-ignored|src/gateway/quarantine.cc|s/if \(ends >= MaxEndedServers\)/if (ends > 1000)/
 ends-not-reported|src/gateway/gossip.cc|s/\*message\.add_suspects\(\) = toWire\(report\);/(void)report;/g
 claims-ignored|src/gateway/suspect-requests.cc|s/\|\| holdsClaim\(f, now\)/|| true/
--- a/test/forwarding-test.cc
+++ b/test/forwarding-test.cc
@@ -48,6 +48,8 @@
   CopyHangs,          ///< The source never answers a copy request.
   FinalCopyFails,     ///< The final copy fails; the source keeps the KV cache.
   FinalResponseLost,  ///< The source stops the run, but its response is lost.
+  StoppedRunUnknown,  ///< As before, and the source knows the run no more.
+  NoHandle,           ///< The response to the final copy cannot be read.
   DestinationRefuses, ///< The destination refuses to resume from the copy.
   DestinationDies,    ///< The resumed stream is interrupted after one event.
   SourceDies,         ///< The source dies before the final copy.
@@ -188,7 +190,10 @@
     const auto json = nlohmann::json::parse(request.Body);
     const bool isLast = json.value("last", false);
     ++Copies;
-    if (HasEnded || (Fault == MigrationFault::NoRunYet && Copies < 3)) {
+    const bool isForgotten =
+        IsStopped && Fault == MigrationFault::StoppedRunUnknown;
+    if (HasEnded || isForgotten ||
+        (Fault == MigrationFault::NoRunYet && Copies < 3)) {
       co_await sendJson(x, 404, "{}");
       co_return;
     }
@@ -205,8 +210,13 @@
       co_return;
     }
     IsStopped = IsStopped || isLast;
-    if (Fault == MigrationFault::FinalResponseLost && isLast)
+    if (isLast && (Fault == MigrationFault::FinalResponseLost ||
+                   Fault == MigrationFault::StoppedRunUnknown))
       co_return;
+    if (isLast && Fault == MigrationFault::NoHandle) {
+      co_await sendJson(x, 200, R"({"han)");
+      co_return;
+    }
     const bool isFailed = Fault == MigrationFault::FinalCopyFails && isLast;
     const int status = isFailed ? 503 : 200;
     co_await sendJson(x, status, R"({"handle":"h1","made":5})");
@@ -784,12 +794,16 @@
     destination.Fault = fault;
     destination.Events = MigrationEvents;
     destination.IsUndelimited = isUndelimited;
+    // Tried when the copy to the first destination has failed.
+    TestServer &other = addServer("e3", "llm");
     ReceivedStream r;
     r.End = co_await http::stream(
         ListenAddress, request("POST", "/stream/x"), TestLimit,
         [&](const http::ServerEvent &event) {
           if (event.Id == "3") {
             Changes.push_back({"e2", destination.listed()});
+            if (fault == MigrationFault::StoppedRunUnknown)
+              Changes.push_back({"e3", other.listed()});
             Changes.push_back({"e1", source.listed(ServerState::Leaving)});
           }
           r.Ids.push_back(event.Id);
@@ -799,6 +813,8 @@
     EXPECT_EQ(r.End.IsComplete,
               r.Ids.size() == static_cast<std::size_t>(MigrationEvents));
     const bool isLost = fault == MigrationFault::FinalResponseLost ||
+                        fault == MigrationFault::StoppedRunUnknown ||
+                        fault == MigrationFault::NoHandle ||
                         fault == MigrationFault::DestinationDies ||
                         fault == MigrationFault::SourceDies;
     EXPECT_EQ(r.End.IsComplete, !isLost);
@@ -814,7 +830,7 @@
 }
 
 /// Guards against a stream without a length that a migration stops, and that is
-/// taken for whole (issue 32).
+/// taken for whole (issues 32 and 38).
 TEST_P(MigrationTest, EveryEventOfAnUndelimitedStreamArrivesOnce) {
   // What the destination sends cannot be told from a whole stream when it ends.
   if (GetParam() == MigrationFault::DestinationDies)
@@ -878,16 +894,14 @@
   EXPECT_EQ(countedSends(), 0U);
 }
 
-INSTANTIATE_TEST_SUITE_P(Faults, MigrationTest,
-                         testing::Values(MigrationFault::None,
-                                         MigrationFault::NoRunYet,
-                                         MigrationFault::NoRoom,
-                                         MigrationFault::CopyHangs,
-                                         MigrationFault::FinalCopyFails,
-                                         MigrationFault::FinalResponseLost,
-                                         MigrationFault::DestinationRefuses,
-                                         MigrationFault::DestinationDies,
-                                         MigrationFault::SourceDies));
+INSTANTIATE_TEST_SUITE_P(
+    Faults, MigrationTest,
+    testing::Values(
+        MigrationFault::None, MigrationFault::NoRunYet, MigrationFault::NoRoom,
+        MigrationFault::CopyHangs, MigrationFault::FinalCopyFails,
+        MigrationFault::FinalResponseLost, MigrationFault::StoppedRunUnknown,
+        MigrationFault::NoHandle, MigrationFault::DestinationRefuses,
+        MigrationFault::DestinationDies, MigrationFault::SourceDies));
 
 } // namespace
 } // namespace drumlanding::gateway
--- a/test/gateway-test.cc
+++ b/test/gateway-test.cc
@@ -6,6 +6,7 @@
 #include "drumlanding/gateway/directory.h"
 #include "drumlanding/gateway/event-log.h"
 #include "drumlanding/gateway/event-splitter.h"
+#include "drumlanding/gateway/final-copy.h"
 #include "drumlanding/gateway/migration-order.h"
 #include "drumlanding/gateway/peers.h"
 #include "drumlanding/gateway/placement.h"
@@ -948,6 +949,44 @@
 
 // Migration order.
 
+CopyResponse copyResponse(CopyResponse::Outcome code, std::string handle = {}) {
+  return {code, std::move(handle), 0};
+}
+
+/// Guards against a run that counts as going on after a final copy whose
+/// response was lost, because a later response does not confirm that it was
+/// stopped (issue 38).
+TEST(FinalCopy, OnlyAHandleClearsAnUnknownOutcome) {
+  using Outcome = CopyResponse::Outcome;
+  const RunState lost =
+      afterFinalCopy(RunState::Running, copyResponse(Outcome::Failed));
+  EXPECT_EQ(lost, RunState::MayBeStopped);
+  for (const Outcome code :
+       {Outcome::Copied, Outcome::NoSuchRun, Outcome::Busy, Outcome::NoRoom,
+        Outcome::NotSent, Outcome::Failed})
+    EXPECT_EQ(afterFinalCopy(lost, copyResponse(code)), RunState::MayBeStopped);
+  EXPECT_EQ(afterFinalCopy(lost, copyResponse(Outcome::Copied, "h1")),
+            RunState::Stopped);
+}
+
+TEST(FinalCopy, ARunGoesOnAfterARequestThatDidNotStopIt) {
+  using Outcome = CopyResponse::Outcome;
+  for (const Outcome code :
+       {Outcome::NoSuchRun, Outcome::Busy, Outcome::NotSent})
+    EXPECT_EQ(afterFinalCopy(RunState::Running, copyResponse(code)),
+              RunState::Running);
+}
+
+TEST(FinalCopy, AResponseWithoutAHandleIsUnclear) {
+  using Outcome = CopyResponse::Outcome;
+  for (const Outcome code : {Outcome::Copied, Outcome::NoRoom})
+    EXPECT_EQ(afterFinalCopy(RunState::Running, copyResponse(code)),
+              RunState::MayBeStopped);
+  EXPECT_EQ(
+      afterFinalCopy(RunState::Running, copyResponse(Outcome::NoRoom, "h1")),
+      RunState::Stopped);
+}
+
 TEST(MigrationOrder, GatewaysAgreeOnOneOrder) {
   std::vector<TrackedRun> there;
   for (RunId i = 1; i <= 6; ++i)
