gateway: A config without any organisation still needs keys

Operators took the last organisation away with its two keys.

Cause: a config that lists no organisations and one that has no such list were the same to the gateway, and RouteTable::needsKeys() took both for "no request needs a key". The decoder, the only place that can tell them apart, did not. Ruled out: the age of the config (the requests came 6 s after the acknowledgement, and both gateways had taken it) and public routes (there are none).

The list is now optional: unset when no request needs a key, and empty when no key is valid. Public routes stay open in both cases. config-taken says needs_keys, since the log did not show which of the two was read.

Related paths looked at: a list of the wrong type is rejected and the config before stays in force, as it did; gateways pass configs on as text, so the one decoder serves all; a split without parts leads to no service and a refusal; drumlanding-entry refuses a session whose credential is unknown, whatever the bundle lists.

Tests, failing before: ForwardingTest.WithoutOrganisationsOnlyPublicRoutesAreOpen (200 twice instead of 401) and Config.AnEmptyListOfOrganisationsStillNeedsKeys. Three other tests only name the list in its new type.

--- a/include/drumlanding/gateway/config.h
+++ b/include/drumlanding/gateway/config.h
@@ -81,7 +81,8 @@
   std::uint64_t Version = 0;
   std::vector<Route> Routes;
   std::vector<Service> Services;
-  std::vector<Organisation> Organisations;
+  /// Unset when no request needs a key. When empty, no key is valid.
+  std::optional<std::vector<Organisation>> Organisations;
   http::CallerLimits Limits;
 
   const Service *service(std::string_view name) const;
--- a/include/drumlanding/gateway/routes.h
+++ b/include/drumlanding/gateway/routes.h
@@ -32,7 +32,7 @@
   const Organisation *organisationOf(const std::string &key) const;
 
   /// Returns true if requests on non-public routes need a key.
-  bool needsKeys() const { return !Current.Organisations.empty(); }
+  bool needsKeys() const { return Current.Organisations.has_value(); }
 
 private:
   Config Current;
--- a/src/gateway/gateway-context.cc
+++ b/src/gateway/gateway-context.cc
@@ -22,7 +22,8 @@
   ConfigText = std::move(text);
   Log.write("config-taken", {{"version", version},
                              {"from", from},
-                             {"routes", Routes->config().Routes.size()}});
+                             {"routes", Routes->config().Routes.size()},
+                             {"needs_keys", Routes->needsKeys()}});
   Metrics.set("drumlanding_document_version", static_cast<double>(version),
               {{"document", "config"}});
   if (NotifyPeers)
--- a/src/gateway/routes.cc
+++ b/src/gateway/routes.cc
@@ -33,7 +33,9 @@
     ByHost[normaliseHost(route.Host)].push_back(&route);
   for (auto &[host, routes] : ByHost)
     std::stable_sort(routes.begin(), routes.end(), isLonger);
-  for (const Organisation &organisation : Current.Organisations)
+  if (!Current.Organisations)
+    return;
+  for (const Organisation &organisation : *Current.Organisations)
     for (const std::string &key : organisation.Keys)
       ByKey.emplace(key, &organisation);
 }
--- a/support/mutants.sh
+++ b/support/mutants.sh
@@ -36,6 +36,7 @@
 no-grace-after-outage|src/gateway/directory.cc|s/return now < GraceUntil \|\| now - StoreContactAt >= ExpiryTime;/return false \&\& now < GraceUntil;/
 older-change-taken|src/gateway/directory.cc|s/return revision != 0 && revision < server\.Revision;/return false \&\& revision < server.Revision;/
 retry-budget-ignored|src/gateway/retry-budget.cc|s/(size\(\)\) \+ 1 > allowed\))/size()) > 1e9 + allowed)/
+no-organisation-needs-no-key|include/drumlanding/gateway/routes.h|s/return Current\.Organisations\.has_value\(\);/return Current.Organisations \&\& !Current.Organisations->empty();/
 unknown-key-accepted|src/gateway/forwarder.cc|s/return plainTextResponse\(401, "The key is missing or unknown\.\\n"\);/(void)0;/
 foreign-answer-passed|platform/protocol-codec.cc|s/answer\.MatchesAttempt = head\.header\(header::AttemptId\) == request\.AttemptId;/answer.MatchesAttempt = true;/
 stop-waits-for-nothing|src/gateway/shell.cc|s/while \(Ctx\.OpenRequests > 0 && Ctx\.now\(\) < Ctx\.stopDeadline\(\)\);/while (false);/
--- a/test/forwarding-test.cc
+++ b/test/forwarding-test.cc
@@ -480,7 +480,8 @@
 
 TEST_F(ForwardingTest, KeysAndRoutesAreChecked) {
   addServer("s1", "shop");
-  GatewayConfig.Organisations = {{"school", {"k1"}, 0}};
+  GatewayConfig.Organisations =
+      std::vector<Organisation>{{"school", {"k1"}, 0}};
   startGateway();
   runTest([&]() -> asio::awaitable<void> {
     co_await waitUntilReady();
@@ -492,6 +493,30 @@
   });
 }
 
+/// Guards against requests that run with any key, or none, once the last
+/// organisation is gone (issue 38).
+TEST_F(ForwardingTest, WithoutOrganisationsOnlyPublicRoutesAreOpen) {
+  TestServer &shop = addServer("s1", "shop");
+  shop.OnRequest = [&](http::Request r, http::Exchange &x) {
+    return sendOwnResponse(shop, std::move(r), x, 200, "served");
+  };
+  GatewayConfig.Organisations = std::vector<Organisation>();
+  GatewayConfig.Routes[1].IsPublic = true;
+  startGateway();
+  runTest([&]() -> asio::awaitable<void> {
+    co_await waitUntilReady();
+    const http::Response withoutKey = co_await call(request("POST", "/once/x"));
+    EXPECT_EQ(withoutKey.Status, 401);
+    http::Request withKey = request("POST", "/once/x");
+    withKey.Headers.push_back({"X-Api-Key", "k1"});
+    const http::Response unknownKey = co_await call(std::move(withKey));
+    EXPECT_EQ(unknownKey.Status, 401);
+    EXPECT_TRUE(shop.Requests.empty());
+    const http::Response open = co_await call(request("GET", "/often/x"));
+    EXPECT_EQ(open.Status, 200);
+  });
+}
+
 TEST_F(ForwardingTest, OnlyIdempotentRequestsAreRetried) {
   const auto fail = [](TestServer &server, int status) {
     server.OnRequest = [&server, status](http::Request r, http::Exchange &x) {
--- a/test/gateway-test.cc
+++ b/test/gateway-test.cc
@@ -78,7 +78,8 @@
 
 TEST(Routes, KeysIdentifyTheOrganisation) {
   Config config;
-  config.Organisations = {{"school", {"k1", "k2"}, 1}, {"library", {"k3"}, 0}};
+  config.Organisations = std::vector<Organisation>{{"school", {"k1", "k2"}, 1},
+                                                   {"library", {"k3"}, 0}};
   const RouteTable table(config);
   EXPECT_TRUE(table.needsKeys());
   EXPECT_EQ(table.organisationOf("k2")->Name, "school");
--- a/test/mortal-servers.h
+++ b/test/mortal-servers.h
@@ -447,8 +447,9 @@
     route.PathPrefix = "/stream/";
     route.Kind = RequestKind::Stream;
     config.Routes.push_back(route);
+    config.Organisations.emplace();
     for (const char *name : {"school", "council"})
-      config.Organisations.push_back(
+      config.Organisations->push_back(
           {name, {std::string("key-") + name}, std::nullopt});
     return config;
   }
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -3,6 +3,8 @@
 #include "platform/store-codec.h"
 #include "platform/store-reader.h"
 
+#include "drumlanding/gateway/routes.h"
+
 #include <algorithm>
 #include <ctime>
 #include <gtest/gtest.h>
@@ -276,8 +278,24 @@
   EXPECT_FALSE(c.service("shop")->Engine);
   EXPECT_EQ(c.service("none"), nullptr);
   EXPECT_EQ(c.Limits.IdleTimeout, milliseconds(15'000));
-  EXPECT_EQ(c.Organisations[0].Keys.size(), 2U);
-  EXPECT_EQ(c.Organisations[0].Priority, 1);
+  ASSERT_TRUE(c.Organisations);
+  EXPECT_EQ(c.Organisations->at(0).Keys.size(), 2U);
+  EXPECT_EQ(c.Organisations->at(0).Priority, 1);
+}
+
+/// Guards against a config that takes its last organisation away and is then
+/// read as one that needs no keys (issue 38).
+TEST(Config, AnEmptyListOfOrganisationsStillNeedsKeys) {
+  nlohmann::json config = nlohmann::json::parse(SampleConfig);
+  const auto needsKeys = [&] {
+    const gateway::RouteTable table(value(decodeConfig(config.dump())));
+    return table.needsKeys();
+  };
+  EXPECT_TRUE(needsKeys());
+  config["tenants"] = nlohmann::json::array();
+  EXPECT_TRUE(needsKeys());
+  config.erase("tenants");
+  EXPECT_FALSE(needsKeys());
 }
 
 TEST(Config, RejectsMalformedText) {
