--- /dev/null
+++ b/test/truncated-response-test.cc
@@ -0,0 +1,341 @@
+// Servers stop at each byte of a response's head, or of its body, and close or
+// reset the connection. Nobody may take what they sent for a whole response.
+#include "free-endpoint.h"
+#include "platform/protocol-codec.h"
+#include "shell.h"
+
+#include "drumlanding/daemon/sleep.h"
+#include "drumlanding/http/connection.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+#include <gtest/gtest.h>
+
+namespace drumlanding::gateway {
+namespace {
+
+using base::milliseconds;
+using base::seconds;
+using boost::system::error_code;
+using daemon::sleepFor;
+using test::freeEndpoint;
+using tcp = asio::ip::tcp;
+
+constexpr seconds TestLimit{60};
+constexpr milliseconds PollInterval{2};
+constexpr std::string_view Body = "id: 0\ndata: a\n\nid: 1\ndata: b\n\n";
+
+enum class Framing { Length, Chunks, None };
+constexpr Framing Framings[] = {Framing::Length, Framing::Chunks,
+                                Framing::None};
+
+/// How the server ends the connection.
+enum class Ending { Close, Reset };
+constexpr Ending Endings[] = {Ending::Close, Ending::Reset};
+
+/// A response of which a server sends only the first `SentBytes`.
+struct TruncatedResponse {
+  Framing BodyFraming = Framing::Length;
+  Ending ConnectionEnding = Ending::Close;
+  std::size_t SentBytes = 0;
+};
+
+std::string describe(const TruncatedResponse &response) {
+  return "framing " + std::to_string(static_cast<int>(response.BodyFraming)) +
+         ", ending " +
+         std::to_string(static_cast<int>(response.ConnectionEnding)) + ", " +
+         std::to_string(response.SentBytes) + " bytes";
+}
+
+std::string headOf(std::string_view attempt, Framing framing) {
+  std::string head = "HTTP/1.1 200 OK\r\nX-Attempt-Id: ";
+  head += attempt;
+  head += "\r\nX-Served-Stamp: s\r\nContent-Type: text/event-stream\r\n";
+  if (framing == Framing::Length)
+    head += "Content-Length: " + std::to_string(Body.size()) + "\r\n";
+  if (framing == Framing::Chunks)
+    head += "Transfer-Encoding: chunked\r\n";
+  return head + "\r\n";
+}
+
+std::string bodyOf(Framing framing) {
+  if (framing != Framing::Chunks)
+    return std::string(Body);
+  std::array<char, 16> size{};
+  std::snprintf(size.data(), size.size(), "%zx\r\n", Body.size());
+  return size.data() + std::string(Body) + "\r\n0\r\n\r\n";
+}
+
+/// Sends the first bytes of a response to each request.
+class TruncatingServer {
+public:
+  explicit TruncatingServer(asio::io_context &io)
+      : Address(freeEndpoint()),
+        Acceptor(io, {asio::ip::make_address(Address.Address), Address.Port}) {
+    asio::co_spawn(io, accept(), asio::detached);
+  }
+
+  base::Endpoint Address;
+  TruncatedResponse Next;
+  int Requests = 0;
+
+private:
+  asio::awaitable<void> accept() {
+    for (;;) {
+      tcp::socket socket(Acceptor.get_executor());
+      error_code ec;
+      co_await Acceptor.async_accept(
+          socket, asio::redirect_error(asio::use_awaitable, ec));
+      if (ec)
+        co_return;
+      asio::co_spawn(Acceptor.get_executor(), serve(std::move(socket)),
+                     asio::detached);
+    }
+  }
+
+  asio::awaitable<void> serve(tcp::socket socket) {
+    constexpr std::string_view Name = "X-Attempt-Id: ";
+    std::string request;
+    error_code ec;
+    co_await asio::async_read_until(
+        socket, asio::dynamic_buffer(request), "\r\n\r\n",
+        asio::redirect_error(asio::use_awaitable, ec));
+    const auto at = request.find(Name);
+    // The gateway's own questions about the server's state are not answered.
+    if (ec || at == std::string::npos)
+      co_return;
+    ++Requests;
+    const std::string attempt = request.substr(
+        at + Name.size(), request.find("\r\n", at) - at - Name.size());
+    std::string text =
+        headOf(attempt, Next.BodyFraming) + bodyOf(Next.BodyFraming);
+    text.resize(std::min(text.size(), Next.SentBytes));
+    co_await asio::async_write(socket, asio::buffer(text),
+                               asio::redirect_error(asio::use_awaitable, ec));
+    if (Next.ConnectionEnding == Ending::Reset)
+      socket.set_option(tcp::socket::linger(true, 0), ec);
+    // The destructor would ignore the option.
+    socket.close(ec);
+  }
+
+  tcp::acceptor Acceptor;
+};
+
+class TruncatedResponseTest : public testing::Test {
+protected:
+  StoreReader storeReader() {
+    StoreReader s;
+    s.ReadConfig = [](const http::ProgressHandler &)
+        -> StoreReader::AsyncResult<ConfigText> {
+      ConfigText text{1, "config"};
+      co_return text;
+    };
+    s.WatchConfig = [](std::uint64_t, milliseconds,
+                       const http::ProgressHandler &)
+        -> StoreReader::AsyncResult<ConfigText> {
+      co_await sleepFor(TestLimit);
+      co_return ConfigText{};
+    };
+    s.ReadServers = [this]() -> StoreReader::AsyncResult<ServerChanges> {
+      ServerChanges all;
+      for (const char *service : {"shop", "llm"}) {
+        ListedServer listed;
+        listed.Id = std::string("s-") + service;
+        listed.Service = service;
+        listed.Address = service == std::string_view("shop") ? Server.Address
+                                                             : Engine.Address;
+        listed.Zone = "a";
+        all.Changes.push_back({listed.Id, listed});
+      }
+      co_return all;
+    };
+    s.WatchServers =
+        [](std::uint64_t,
+           milliseconds wait) -> StoreReader::AsyncResult<ServerChanges> {
+      co_await sleepFor(wait);
+      co_return ServerChanges{};
+    };
+    s.DecodeConfig = [](std::string_view) -> base::Result<Config> {
+      return makeConfig();
+    };
+    return s;
+  }
+
+  static Config makeConfig() {
+    Config config;
+    config.Version = 1;
+    const auto addRoute = [&](std::string prefix, RequestKind kind,
+                              std::string service) {
+      Route route;
+      route.Name = prefix;
+      route.Host = "a.example";
+      route.PathPrefix = std::move(prefix);
+      route.Kind = kind;
+      route.Services = {{std::move(service), 1}};
+      config.Routes.push_back(std::move(route));
+    };
+    addRoute("/once/", RequestKind::NonIdempotent, "shop");
+    addRoute("/often/", RequestKind::Idempotent, "shop");
+    addRoute("/stream/", RequestKind::Stream, "llm");
+    config.Services = {{"shop", std::nullopt}, {"llm", EngineTraits()}};
+    return config;
+  }
+
+  void startGateway() {
+    GatewaySettings settings;
+    settings.Name = "gateway";
+    settings.Zone = "a";
+    settings.Listen = freeEndpoint();
+    settings.ReadyListen = freeEndpoint();
+    settings.ControlListen = freeEndpoint();
+    auto shell = Shell::start(Io, Clock, settings,
+                              platform::makeProtocolCodec(), storeReader());
+    ASSERT_TRUE(ok(shell)) << base::describe(error(shell));
+    Gateway = std::move(value(shell));
+  }
+
+  template <typename Body> void runTest(Body body) {
+    bool isDone = false;
+    asio::co_spawn(
+        Io,
+        [&]() -> asio::awaitable<void> {
+          co_await body();
+          isDone = true;
+          Io.stop();
+        },
+        [](std::exception_ptr e) {
+          if (e)
+            std::rethrow_exception(e);
+        });
+    Io.run_for(TestLimit);
+    EXPECT_TRUE(isDone) << "the test hangs";
+  }
+
+  /// Returns a request that no other has in common with, so that no request is
+  /// suspected because of another.
+  http::Request nextRequest(const std::string &prefix) {
+    const std::string number = std::to_string(++LastAttempt);
+    return {"POST",
+            prefix + number,
+            {{"Host", "a.example"}, {"X-Attempt-Id", number}},
+            {}};
+  }
+
+  /// Runs `check` for each response that ends before `end(framing)` bytes.
+  template <typename Check>
+  asio::awaitable<void>
+  forEachTruncation(std::function<std::size_t(Framing)> end, Check check) {
+    for (const Framing framing : Framings)
+      for (const Ending ending : Endings)
+        for (std::size_t n = 0; n < end(framing); ++n) {
+          const TruncatedResponse response{framing, ending, n};
+          Server.Next = response;
+          Engine.Next = response;
+          co_await check(response);
+        }
+  }
+
+  static std::size_t headSize(Framing framing) {
+    // Attempts have up to four digits: the test stays inside each head.
+    return headOf("1", framing).size();
+  }
+
+  /// Sends requests to a route whose server stops within the head.
+  void checkRoute(const std::string &prefix, const TruncatingServer &server) {
+    startGateway();
+    runTest([&]() -> asio::awaitable<void> {
+      while (!Gateway->context().isReady())
+        co_await sleepFor(PollInterval);
+      co_await forEachTruncation(
+          headSize,
+          [&](const TruncatedResponse &sent) -> asio::awaitable<void> {
+            const int before = server.Requests;
+            http::FetchResult fetched =
+                co_await http::fetch(Gateway->context().Settings.Listen,
+                                     nextRequest(prefix), TestLimit);
+            EXPECT_EQ(server.Requests, before + 1) << describe(sent);
+            EXPECT_TRUE(ok(fetched.Outcome)) << describe(sent);
+            if (!ok(fetched.Outcome))
+              co_return;
+            const http::Response &response = value(fetched.Outcome);
+            EXPECT_EQ(response.Status, 502) << describe(sent);
+            EXPECT_EQ(http::findHeader(response.Headers, "X-Served-Stamp"), "")
+                << describe(sent);
+          });
+    });
+  }
+
+  asio::io_context Io{1};
+  base::SystemClock Clock;
+  TruncatingServer Server{Io};
+  TruncatingServer Engine{Io};
+  std::unique_ptr<Shell> Gateway;
+  int LastAttempt = 0;
+};
+
+/// Guards against a head that ends with its connection and is taken for whole
+/// (issue 38).
+TEST_F(TruncatedResponseTest, NoCallIsAnsweredWithAPartOfAHead) {
+  checkRoute("/once/", Server);
+}
+
+TEST_F(TruncatedResponseTest, NoRepeatableCallIsAnsweredWithAPartOfAHead) {
+  checkRoute("/often/", Server);
+}
+
+TEST_F(TruncatedResponseTest, NoStreamBeginsWithAPartOfAHead) {
+  checkRoute("/stream/", Engine);
+}
+
+/// Guards against a part of a body that is taken for the whole (issue 38). A
+/// body without framing that is closed early looks whole to everybody.
+TEST_F(TruncatedResponseTest, NoCallIsAnsweredWithAPartOfABody) {
+  startGateway();
+  const auto wholeSize = [](Framing framing) {
+    return headSize(framing) + bodyOf(framing).size();
+  };
+  runTest([&]() -> asio::awaitable<void> {
+    while (!Gateway->context().isReady())
+      co_await sleepFor(PollInterval);
+    co_await forEachTruncation(
+        wholeSize, [&](const TruncatedResponse &sent) -> asio::awaitable<void> {
+          const bool looksWhole = sent.BodyFraming == Framing::None &&
+                                  sent.ConnectionEnding == Ending::Close;
+          if (looksWhole || sent.SentBytes < headSize(sent.BodyFraming))
+            co_return;
+          http::FetchResult fetched =
+              co_await http::fetch(Gateway->context().Settings.Listen,
+                                   nextRequest("/once/"), TestLimit);
+          EXPECT_TRUE(ok(fetched.Outcome)) << describe(sent);
+          if (ok(fetched.Outcome)) {
+            EXPECT_EQ(value(fetched.Outcome).Status, 502) << describe(sent);
+          }
+        });
+  });
+}
+
+/// Guards against the same in our own calls: to the store, to other gateways
+/// and to servers that are asked for their state or for a copy (issue 38).
+TEST_F(TruncatedResponseTest, NoCallOfOurOwnAcceptsAPartOfAHead) {
+  runTest([&]() -> asio::awaitable<void> {
+    co_await forEachTruncation(
+        headSize, [&](const TruncatedResponse &sent) -> asio::awaitable<void> {
+          http::FetchResult fetched =
+              co_await http::fetch(Server.Address, nextRequest("/"), TestLimit);
+          EXPECT_FALSE(ok(fetched.Outcome)) << describe(sent);
+          const http::StreamEnd end = co_await http::stream(
+              Server.Address, nextRequest("/"), TestLimit,
+              [](const http::ServerEvent &) { return true; });
+          EXPECT_FALSE(end.IsComplete) << describe(sent);
+          EXPECT_EQ(end.Status, 0) << describe(sent);
+        });
+  });
+}
+
+} // namespace
+} // namespace drumlanding::gateway
