http: A reset while the request is still being sent is not the response's end

What callers could see: a success with a part of its body, framed as whole, when a server answers before it has read a long request, without a length or chunks, and its connection is reset.

Cause: the write of the request goes on beside the reads of the response. When the connection is reset, the write fails first and takes the socket's error. Further reads then return the bytes that had arrived, and a regular end, which completes a body without framing. The handler of the write ignored its error, as "reported by the next read, which fails too": it is not.

The connection now keeps the write's error, and a body that only the connection ends is not whole after one. Bodies with a length or chunks are whole or not by themselves, so that an early response with either is still forwarded. Ruled out: a reset after the request was sent, which the reads report (the same test's other 5 cases). Our own calls send the request before they read. The server side reads and writes in turn.

--- a/src/http/connection.cc
+++ b/src/http/connection.cc
@@ -69,11 +69,9 @@
   void send(const Request &request) override {
     IsHeadRequest = request.Method == "HEAD";
     auto text = std::make_shared<std::string>(serialise(request));
-    asio::async_write(
-        Stream.socket(), asio::buffer(*text),
-        [self = shared_from_this(), text](error_code, std::size_t) {
-          // A failed write is reported by the next read, which fails too.
-        });
+    asio::async_write(Stream.socket(), asio::buffer(*text),
+                      [self = shared_from_this(), this,
+                       text](error_code ec, std::size_t) { WriteError = ec; });
   }
 
   asio::awaitable<Result<ResponseHead>> readHead() override {
@@ -111,6 +109,10 @@
         co_return toError(Peer, ec);
       // Return the data received before an error; the next read reports it.
     }
+    // The failed write has taken the socket's error, so that a connection that
+    // was reset reads like one that was closed.
+    if (chunk.empty() && Parser->need_eof() && WriteError)
+      co_return toError(Peer, WriteError);
     co_return chunk;
   }
 
@@ -127,6 +129,8 @@
   beast::flat_buffer Buffer{MaxUnparsedBytes};
   std::optional<BodyParser> Parser;
   bool IsHeadRequest = false;
+  /// Why the request could not be sent; a server may respond all the same.
+  error_code WriteError;
 };
 
 } // namespace
--- a/support/mutants.sh
+++ b/support/mutants.sh
@@ -17,7 +17,8 @@
 fi
 UNITS=(gateway-test platform-test sidecar-test forwarding-test store-session-test
   request-limit-test quarantine-test query-of-death-test endless-response-test
-  part-quarantine-test prompt-part-test connection-limit-test)
+  part-quarantine-test prompt-part-test connection-limit-test
+  truncated-response-test)
 PROGRAMS=(drumlanding-gateway drumlanding-sidecar fake-platform soak)
 SOAK_SEED=501
 
@@ -60,6 +61,7 @@
 part-ends-not-reported|src/gateway/gossip.cc|s/\*message\.add_suspect_parts\(\) = toWire\(report\);/(void)report;/g
 parts-of-all-organisations|src/gateway/request-fingerprint.cc|s/  addPart\(state, organisation\);\n  addPart\(state, part\);/  (void)organisation;\n  addPart(state, part);/
 other-explanations-ignored|src/gateway/part-quarantine.cc|s/return explained\.contains\(keyOf\(end\)\);/return false \&\& explained.contains(keyOf(end));/
+failed-write-forgotten|src/http/connection.cc|s/ec\) \{ WriteError = ec; \}/ec) { (void)ec; }/
 undelimited-end-is-completion|src/http/connection.cc|s/!Parser->need_eof\(\) \|\| Parser->is_done\(\)/true/
 overload-accepted|src/gateway/load-shedder.cc|s/if \(IsOverloaded && /if (false \&\& /
 body-without-limit|src/gateway/forwarded-request.cc|s/if \(!memory\.grow\(value\(piece\)\.size\(\)\)\)/if (!memory.grow(0))/
--- a/test/truncated-response-test.cc
+++ b/test/truncated-response-test.cc
@@ -337,5 +337,34 @@
   });
 }
 
+/// Guards against a body without framing that is reset while the request is
+/// still being sent, and is then taken for whole (issue 38): a failed write
+/// takes the socket's error, and reads then see a regular end.
+TEST_F(TruncatedResponseTest, AResetWhileTheRequestIsSentIsNoEnd) {
+  constexpr std::size_t RequestBytes = 32 << 20;
+  Server.Next = {Framing::None, Ending::Reset,
+                 headSize(Framing::None) + Body.size() / 2};
+  runTest([&]() -> asio::awaitable<void> {
+    auto opened = co_await http::Connection::open(Server.Address, seconds(1));
+    EXPECT_TRUE(ok(opened));
+    const auto connection = value(opened);
+    http::Request request = nextRequest("/");
+    request.Body = std::string(RequestBytes, 'x');
+    connection->send(request);
+    auto head = co_await connection->readHead();
+    EXPECT_TRUE(ok(head));
+    bool isWhole = false;
+    for (;;) {
+      auto piece = co_await connection->read();
+      if (!ok(piece))
+        break;
+      isWhole = value(piece).empty();
+      if (isWhole)
+        break;
+    }
+    EXPECT_FALSE(isWhole);
+  });
+}
+
 } // namespace
 } // namespace drumlanding::gateway
