gateway: An empty key in the config admits nobody

A request without a key would run for an organisation whose list of keys has an empty one.

Cause: a missing header reads as an empty key, and the table of keys is searched for it. Empty keys now stay out of the table. Ruled out: a key that is listed twice, which stays with its first organisation as before.

Routes.AnEmptyKeyIsNoKey failed before; Routes.* 4 of 4 after.

--- a/src/gateway/routes.cc
+++ b/src/gateway/routes.cc
@@ -37,7 +37,9 @@
     return;
   for (const Organisation &organisation : *Current.Organisations)
     for (const std::string &key : organisation.Keys)
-      ByKey.emplace(key, &organisation);
+      // A request without a key has an empty one.
+      if (!key.empty())
+        ByKey.emplace(key, &organisation);
 }
 
 const Route *RouteTable::find(std::string_view host,
--- a/test/gateway-test.cc
+++ b/test/gateway-test.cc
@@ -88,6 +88,16 @@
   EXPECT_EQ(table.organisationOf("k"), nullptr);
 }
 
+/// Guards against a request without a key that runs for an organisation whose
+/// list of keys has an empty one (issue 38).
+TEST(Routes, AnEmptyKeyIsNoKey) {
+  Config config;
+  config.Organisations = std::vector<Organisation>{{"school", {"", "k1"}, 1}};
+  const RouteTable table(config);
+  EXPECT_EQ(table.organisationOf(""), nullptr);
+  EXPECT_NE(table.organisationOf("k1"), nullptr);
+}
+
 TEST(Routes, ServicesAreChosenByWeight) {
   Route r = route("a", "/", "one");
   r.Services = {{"one", 90}, {"two", 10}};
