gateway: A service with weight 0 gets no request

Cause: when no service was drawn, the last one was taken, whatever its weight. Now only services with a positive weight are drawn; if there is none, the request is refused as not run, like one to an unknown service. A negative weight counts as 0 in the sum too.

Routes.AServiceWithoutAShareGetsNoRequest failed before (first check; the rounding was not hit in 1,000 draws); gateway-test 89 of 89 after.

--- a/include/drumlanding/gateway/routes.h
+++ b/include/drumlanding/gateway/routes.h
@@ -43,7 +43,8 @@
 
 using RouteTablePointer = std::shared_ptr<const RouteTable>;
 
-/// Picks one of the route's services at random, by weight.
+/// Picks one of the route's services at random, by weight. Returns an empty
+/// name if no service has a positive weight.
 std::string_view chooseService(const Route &route, base::Random &random);
 
 } // namespace drumlanding::gateway
--- a/src/gateway/routes.cc
+++ b/src/gateway/routes.cc
@@ -61,15 +61,18 @@
 std::string_view chooseService(const Route &route, base::Random &random) {
   double total = 0;
   for (const WeightedService &s : route.Services)
-    total += s.Weight;
+    total += std::max(s.Weight, 0.0);
   double remaining = random.unit() * total;
+  std::string_view chosen;
   for (const WeightedService &s : route.Services) {
+    if (s.Weight <= 0)
+      continue;
+    chosen = s.Service;
     remaining -= s.Weight;
     if (remaining < 0)
-      return s.Service;
+      break;
   }
-  return route.Services.empty() ? std::string_view()
-                                : route.Services.back().Service;
+  return chosen;
 }
 
 } // namespace drumlanding::gateway
--- a/test/gateway-test.cc
+++ b/test/gateway-test.cc
@@ -98,6 +98,18 @@
   EXPECT_NE(table.organisationOf("k1"), nullptr);
 }
 
+/// Guards against a service that gets requests though its share is 0 (issue
+/// 38).
+TEST(Routes, AServiceWithoutAShareGetsNoRequest) {
+  Route r = route("a", "/", "one");
+  r.Services = {{"one", 0}, {"two", 0}};
+  base::Random random(7);
+  EXPECT_EQ(chooseService(r, random), "");
+  r.Services = {{"one", 1}, {"two", 0}};
+  for (int i = 0; i < 1'000; ++i)
+    EXPECT_EQ(chooseService(r, random), "one");
+}
+
 TEST(Routes, ServicesAreChosenByWeight) {
   Route r = route("a", "/", "one");
   r.Services = {{"one", 90}, {"two", 10}};
