sidecar: Only a server that sends a report is announced as the engine

Cause: the sidecar beside the ended engine goes on, reads the id of whatever answers the health check at the address, and announces it under its own service. A health check has no more than an id; only engines have a report. The sidecar now announces a server once it has sent a report on the same connection, and closes a connection on which it sends none. It says so once for each server (no-report). Ruled out: the store's list, which names the right service as soon as it has the entry, and the expected id, which the plain server's own is.

What remains: an engine of another service has a report too.

--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -74,8 +74,7 @@
 asio::awaitable<void> Sidecar::watchEngine() {
   for (;;) {
     co_await pollUntilDisconnected();
-    EngineId.clear();
-    LastReport = {};
+    forgetEngine();
     co_await sleepFor(ReconnectDelay);
   }
 }
@@ -107,8 +106,15 @@
   }
 }
 
-/// Requests reports on one connection until it fails. A restart of the engine
-/// closes the connection, so its new id is read on the next one.
+void Sidecar::forgetEngine() {
+  EngineId.clear();
+  IsEngine = false;
+  LastReport = {};
+}
+
+/// Requests reports on one connection until it fails or a response is no
+/// report. A restart of the engine closes the connection, so its new id is read
+/// on the next one.
 asio::awaitable<void> Sidecar::pollUntilDisconnected() {
   auto opened =
       co_await http::Connection::open(Settings.Engine, ConnectTimeout);
@@ -128,8 +134,11 @@
     if (!ok(response))
       co_return;
     const auto report = Codec.DecodeReport(value(response));
-    if (ok(report))
-      applyReport(value(report));
+    if (!ok(report)) {
+      rejectServer(error(report));
+      co_return;
+    }
+    applyReport(value(report));
     co_await sleepFor(PollInterval);
   }
 }
@@ -139,13 +148,24 @@
     return;
   EngineId = id;
   IdentifiedAt = Clock.now().Steady;
-  Log.write("engine-met", {{"server", id}});
-  sendNotice(liveGateways());
+}
+
+/// Logs that the server at the engine's address has no report, once for each.
+void Sidecar::rejectServer(const base::Error &why) {
+  if (RejectedId == EngineId)
+    return;
+  RejectedId = EngineId;
+  Log.write("no-report", {{"server", EngineId}, {"why", describe(why)}});
 }
 
 void Sidecar::applyReport(const gateway::ServerReport &report) {
   const bool isNew = report.IsLeaving && !LastReport.IsLeaving;
   LastReport = report;
+  if (!IsEngine && !EngineId.empty()) {
+    IsEngine = true;
+    Log.write("engine-met", {{"server", EngineId}});
+    sendNotice(liveGateways());
+  }
   if (isNew)
     Log.write(
         "engine-leaving",
@@ -196,8 +216,7 @@
       message.has_notice())
     return;
   Gateways.recordMessage(Clock.now().Steady, message);
-  // No notice is sent while the engine does not respond.
-  if (message.asks_notice() && !EngineId.empty())
+  if (message.asks_notice() && IsEngine)
     Socket->reply(from, encodeNotice());
 }
 
@@ -209,8 +228,7 @@
     std::vector<base::Endpoint> gateways;
     for (std::size_t i = 0; i < std::min(due.size(), MaxContacts); ++i)
       gateways.push_back(due[NextContact++ % due.size()]);
-    // No notice is sent while the engine does not respond.
-    if (!EngineId.empty())
+    if (IsEngine)
       sendNotice(gateways);
     const bool isNew = Clock.now().Steady - IdentifiedAt < InitialContactPeriod;
     co_await sleepFor(isNew ? InitialContactInterval : ContactInterval);
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -46,7 +46,9 @@
                const gateway::DatagramSocket::Sender &from);
   std::string encodeNotice() const;
   asio::awaitable<void> maintainContact();
+  void forgetEngine();
   void identifyEngine(const std::string &id);
+  void rejectServer(const base::Error &why);
   void applyReport(const gateway::ServerReport &report);
   void sendNotice(const std::vector<base::Endpoint> &gateways);
   std::vector<base::Endpoint> liveGateways() const;
@@ -59,8 +61,14 @@
   gateway::Peers Gateways;
   std::unique_ptr<gateway::DatagramSocket> Socket;
   gateway::ServerReport LastReport;
-  /// The engine's id; empty while the engine does not respond or is unhealthy.
+  /// The id of the server at the engine's address; empty while it does not
+  /// respond or is unhealthy.
   std::string EngineId;
+  /// That server has sent a report. An ended engine's address may belong to
+  /// another service, whose servers have ids too, but no reports.
+  bool IsEngine = false;
+  /// The last server whose missing report was logged.
+  std::string RejectedId;
   /// When the engine on this connection was identified, or the process started.
   base::Instant IdentifiedAt{};
   base::Instant NotifiedAt{};
--- a/test/sidecar-test.cc
+++ b/test/sidecar-test.cc
@@ -24,6 +24,7 @@
 /// Longer than any test takes, so that a hang fails the test.
 constexpr seconds TestLimit{20};
 constexpr milliseconds Step{2};
+constexpr std::string_view ReportPath = "/drumlanding/report";
 
 class SidecarTest : public testing::Test {
 protected:
@@ -50,7 +51,13 @@
     Instance = std::move(value(started));
   }
 
-  asio::awaitable<void> serve(http::Request, http::Exchange &x) {
+  asio::awaitable<void> serve(http::Request request, http::Exchange &x) {
+    if (!HasReport && request.path() == ReportPath) {
+      ++ReportRequests;
+      http::Response missing{404, "text/plain", "", {}};
+      co_await x.send(std::move(missing));
+      co_return;
+    }
     if (HangsOnNextRequest) {
       HangsOnNextRequest = false;
       co_await sleepFor(TestLimit);
@@ -92,6 +99,9 @@
   std::string Id = "first";
   bool IsLeaving = false;
   bool HangsOnNextRequest = false;
+  /// False for a server of a plain service.
+  bool HasReport = true;
+  int ReportRequests = 0;
   std::vector<wire::EngineNotice> Notices;
   std::unique_ptr<http::Server> Engine;
   std::unique_ptr<gateway::DatagramSocket> Gateway;
@@ -128,5 +138,16 @@
   EXPECT_TRUE(waitUntil([&] { return hasNotice("second", false); }));
 }
 
+/// Guards against a plain server that takes over an ended engine's address and
+/// is announced as an engine, so that streams are sent to it (issue 38).
+TEST_F(SidecarTest, AServerWithoutAReportIsNotAnnounced) {
+  HasReport = false;
+  constexpr int Reports = 3;
+  ASSERT_TRUE(waitUntil([&] { return ReportRequests >= Reports; }));
+  EXPECT_FALSE(hasNotice("first", false));
+  HasReport = true;
+  EXPECT_TRUE(waitUntil([&] { return hasNotice("first", false); }));
+}
+
 } // namespace
 } // namespace drumlanding::sidecar
