gateway: A server known from a notice alone waits for the list

The store's list, which names the server's own service, arrives up to half a second later.

While the store is heard, a server that the list does not have yet gets no requests; while it may be away, notices are all that there is, and are used as before. The test for that is the one that entries which may have expired go by. Ruled out: to ignore notices of unlisted servers altogether, since new engines would stay unknown in an outage; they still end the server before them at their address.

What remains: an engine of another service at a reused address while the store is away.

--- a/include/drumlanding/gateway/directory.h
+++ b/include/drumlanding/gateway/directory.h
@@ -194,7 +194,8 @@
   const Server *find(std::string_view id) const;
   std::vector<const Server *> all() const;
   /// Returns the servers of a service that may receive new requests. When all
-  /// of them are ejected, returns all of them.
+  /// of them are ejected, returns all of them. Servers that are not listed yet
+  /// are only used while the store may be away.
   std::vector<const Server *> usable(base::Instant now,
                                      std::string_view service) const;
   /// Returns the list as received, with removed entries, for other gateways.
--- a/src/gateway/directory.cc
+++ b/src/gateway/directory.cc
@@ -408,6 +408,10 @@
   for (const auto &[id, server] : Servers) {
     if (server.IsLeaving || server.Listed.Service != service)
       continue;
+    // The list tells the service of each server and arrives soon; a notice only
+    // has the service that the sidecar was set up for.
+    if (!server.IsListed && !mayHaveExpired(now))
+      continue;
     (now < server.EjectedUntil ? ejected : healthy).push_back(&server);
   }
   return healthy.empty() ? ejected : healthy;
--- a/test/gateway-test.cc
+++ b/test/gateway-test.cc
@@ -447,6 +447,20 @@
   EXPECT_EQ(d.usable(Start + seconds(2), "llm").size(), 1U);
 }
 
+/// Guards against requests to a server that a sidecar announces under its own
+/// engine's service before the list names the server's own (issue 38).
+TEST(Directory, AnAnnouncedServerWaitsForTheListUnlessTheStoreIsAway) {
+  Directory d;
+  keepStoreContactUntil(d, Start);
+  d.applyNotice(Start, notice("n1", 1));
+  EXPECT_TRUE(d.usable(Start, "llm").empty());
+  const base::Instant inOutage = Start + seconds(10);
+  EXPECT_EQ(d.usable(inOutage, "llm").size(), 1U);
+  d.put(Start, server("n1", "shop", "a", 1));
+  EXPECT_TRUE(d.usable(inOutage, "llm").empty());
+  EXPECT_EQ(d.usable(Start, "shop").size(), 1U);
+}
+
 /// The list can contain both servers for some seconds: eight streams per day
 /// were refused.
 TEST(Directory, ANoticeEndsTheServerListedEarlierAtItsAddress) {
