http: A request gets the limits in force when it begins

Callers do not try again after a 413.

Cause: the server took the limits before it waited for the first byte of the next request, so that an idle connection kept those of the time when it became idle. It now takes them when the request begins: sizes, the time for headers and for the body. The time that a connection may stay idle is still that of the moment at which it became idle: when it is raised in the meantime, the connection may be closed earlier than the newest config allows, which callers see before they send. Ruled out: the config's age; new connections were served by the same gateways. The other users of such limits (entry, control, metrics) have fixed ones.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -263,6 +263,9 @@
                                           Parser &parser,
                                           const CallerLimits &limits);
   const Response *errorResponse(const error_code &ec) const;
+  CallerLimits currentLimits() const {
+    return Options.CurrentLimits ? Options.CurrentLimits() : Options.Limits;
+  }
   void addConnection(const ConnectionPointer &connection);
   void removeConnection(const ConnectionPointer &connection);
   void setIdle(const ConnectionPointer &connection, bool isIdle);
@@ -473,10 +476,11 @@
 
 asio::awaitable<bool> Server::State::serveOne(ConnectionPointer connection,
                                               beast::flat_buffer &buffer) {
-  const CallerLimits limits =
-      Options.CurrentLimits ? Options.CurrentLimits() : Options.Limits;
-  if (!co_await waitForBytes(connection, buffer, limits.IdleTimeout))
+  const base::milliseconds idleTimeout = currentLimits().IdleTimeout;
+  if (!co_await waitForBytes(connection, buffer, idleTimeout))
     co_return false;
+  // The limits may have changed while the connection was idle.
+  const CallerLimits limits = currentLimits();
   Parser parser;
   const error_code ec =
       co_await readRequest(*connection, buffer, parser, limits);
--- a/support/mutants.sh
+++ b/support/mutants.sh
@@ -65,6 +65,7 @@
 other-explanations-ignored|src/gateway/part-quarantine.cc|s/return explained\.contains\(keyOf\(end\)\);/return false \&\& explained.contains(keyOf(end));/
 failed-write-forgotten|src/http/connection.cc|s/ec\) \{ WriteError = ec; \}/ec) { (void)ec; }/
 undelimited-end-is-completion|src/http/connection.cc|s/!Parser->need_eof\(\) \|\| Parser->is_done\(\)/true/
+limits-of-an-idle-connection|src/http/server.cc|s/const CallerLimits limits = currentLimits\(\);\n//; s/const base::milliseconds idleTimeout = currentLimits\(\)\.IdleTimeout;/const CallerLimits limits = currentLimits();\n  const base::milliseconds idleTimeout = limits.IdleTimeout;/
 overload-accepted|src/gateway/load-shedder.cc|s/if \(IsOverloaded && /if (false \&\& /
 body-without-limit|src/gateway/forwarded-request.cc|s/if \(!memory\.grow\(value\(piece\)\.size\(\)\)\)/if (!memory.grow(0))/
 LIST
--- a/test/connection-limit-test.cc
+++ b/test/connection-limit-test.cc
@@ -2,6 +2,7 @@
 #include "free-endpoint.h"
 
 #include "drumlanding/daemon/sleep.h"
+#include "drumlanding/http/connection.h"
 #include "drumlanding/http/http.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -124,6 +125,46 @@
   });
 }
 
+/// Guards against a connection that keeps the limits of the time when it became
+/// idle, and refuses what a newer config allows (issue 38).
+TEST_F(ConnectionLimitTest, ANewRequestGetsTheLimitsInForce) {
+  constexpr std::uint64_t OldMaxBodyBytes = 100;
+  constexpr std::uint64_t NewMaxBodyBytes = 1'000;
+  constexpr milliseconds Pause{2};
+  CallerLimits limits;
+  limits.MaxBodyBytes = OldMaxBodyBytes;
+  ServerOptions options;
+  options.CurrentLimits = [&limits] { return limits; };
+  startServer(std::move(options));
+  runTest([&]() -> asio::awaitable<void> {
+    auto opened = co_await Connection::open(Address, seconds(1));
+    const auto connection = value(opened);
+    const auto post = [&](std::uint64_t bytes) -> asio::awaitable<int> {
+      Request request{"POST", "/", {}, std::string(bytes, 'x')};
+      request.Headers.push_back({"Host", "a.example"});
+      connection->send(request);
+      auto head = co_await connection->readHead();
+      if (!ok(head))
+        co_return 0;
+      auto piece = co_await connection->read();
+      while (ok(piece) && !value(piece).empty())
+        piece = co_await connection->read();
+      co_return value(head).Status;
+    };
+    const int small = co_await post(OldMaxBodyBytes);
+    EXPECT_EQ(small, 200);
+    // The server waits for the next request while the config changes.
+    co_await daemon::sleepFor(Pause);
+    limits.MaxBodyBytes = NewMaxBodyBytes;
+    const int large = co_await post(NewMaxBodyBytes);
+    EXPECT_EQ(large, 200);
+    co_await daemon::sleepFor(Pause);
+    limits.MaxBodyBytes = OldMaxBodyBytes;
+    const int tooLarge = co_await post(NewMaxBodyBytes);
+    EXPECT_EQ(tooLarge, 413);
+  });
+}
+
 TEST_F(ConnectionLimitTest, ConnectionsThatAreNotAcceptedAreClosedUnread) {
   bool accepts = false;
   ServerOptions options;
