sidecar: A notice relies on a report of the last second

A sidecar that was suspended for 3 s while its engine crashed and came back announced the old engine when it went on.

Cause: after the suspension the timer of the notices may run before the closed connection is noticed, and the report that the sidecar relied on had no age. It is now counted from its request, since an answer may have waited in the socket, and nothing is announced when it is older than the time in which an engine has to respond. The clock is passed in, so that the test needs no wait of its own. Ruled out: to let a server that is listed undo its replacement.

--- a/src/sidecar/main.cc
+++ b/src/sidecar/main.cc
@@ -60,7 +60,8 @@
   boost::asio::io_context io(1);
   // The process that reads the log may exit first.
   std::signal(SIGPIPE, SIG_IGN);
-  auto sidecar = sidecar::Sidecar::start(io, value(settings),
+  const base::SystemClock clock;
+  auto sidecar = sidecar::Sidecar::start(io, clock, value(settings),
                                          platform::makeProtocolCodec());
   if (!ok(sidecar))
     base::exitOnBadSettings(error(sidecar));
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -24,6 +24,10 @@
 /// An engine on the same VM sends its report within milliseconds. One that does
 /// not respond within this timeout hangs, or its connection is dead.
 constexpr milliseconds ResponseTimeout{1'000};
+/// Maximum age of the report that a notice relies on. When this process was
+/// suspended, the engine may have ended in the meantime, and an answer that has
+/// waited in the socket is as old as its request.
+constexpr milliseconds MaxReportAge = ResponseTimeout;
 /// Delay before reconnecting to an engine that does not respond.
 constexpr milliseconds ReconnectDelay{250};
 /// Interval at which a leaving notice is repeated, since datagrams get lost.
@@ -42,18 +46,18 @@
 
 } // namespace
 
-Sidecar::Sidecar(asio::io_context &io, SidecarSettings settings,
-                 gateway::ProtocolCodec codec)
-    : Io(io), Settings(std::move(settings)), Codec(std::move(codec)),
-      Log(Settings.Name),
+Sidecar::Sidecar(asio::io_context &io, const base::Clock &clock,
+                 SidecarSettings settings, gateway::ProtocolCodec codec)
+    : Io(io), Clock(clock), Settings(std::move(settings)),
+      Codec(std::move(codec)), Log(Settings.Name),
       Gateways(Clock.now().Steady, {Settings.Name, Settings.Listen,
                                     base::secureRandom64(), Settings.Seeds}) {}
 
 base::Result<std::unique_ptr<Sidecar>>
-Sidecar::start(asio::io_context &io, SidecarSettings settings,
-               gateway::ProtocolCodec codec) {
+Sidecar::start(asio::io_context &io, const base::Clock &clock,
+               SidecarSettings settings, gateway::ProtocolCodec codec) {
   std::unique_ptr<Sidecar> sidecar(
-      new Sidecar(io, std::move(settings), std::move(codec)));
+      new Sidecar(io, clock, std::move(settings), std::move(codec)));
   Sidecar &s = *sidecar;
   auto datagrams = gateway::DatagramSocket::open(io, s.Settings.Listen);
   if (!ok(datagrams))
@@ -129,6 +133,7 @@
         co_return;
       identifyEngine(Codec.DecodeHealth(value(health)).Id);
     }
+    const base::Instant requestedAt = Clock.now().Steady;
     const auto response =
         co_await sendRequest(*connection, Codec.EncodeReportRequest());
     if (!ok(response))
@@ -138,7 +143,7 @@
       rejectServer(error(report));
       co_return;
     }
-    applyReport(value(report));
+    applyReport(value(report), requestedAt);
     co_await sleepFor(PollInterval);
   }
 }
@@ -158,7 +163,16 @@
   Log.write("no-report", {{"server", EngineId}, {"why", describe(why)}});
 }
 
-void Sidecar::applyReport(const gateway::ServerReport &report) {
+bool Sidecar::isEngineCurrent() const {
+  return IsEngine && Clock.now().Steady - ReportRequestedAt <= MaxReportAge;
+}
+
+void Sidecar::applyReport(const gateway::ServerReport &report,
+                          base::Instant requestedAt) {
+  const base::Instant now = Clock.now().Steady;
+  if (now - requestedAt > MaxReportAge)
+    return;
+  ReportRequestedAt = requestedAt;
   const bool isNew = report.IsLeaving && !LastReport.IsLeaving;
   LastReport = report;
   if (!IsEngine && !EngineId.empty()) {
@@ -172,7 +186,6 @@
         {{"leaves_in_ms", report.LeavesIn.value_or(milliseconds(0)).count()}});
   if (!report.IsLeaving)
     return;
-  const base::Instant now = Clock.now().Steady;
   if (!isNew && now - NotifiedAt < NoticeRepeatInterval)
     return;
   NotifiedAt = now;
@@ -216,7 +229,7 @@
       message.has_notice())
     return;
   Gateways.recordMessage(Clock.now().Steady, message);
-  if (message.asks_notice() && IsEngine)
+  if (message.asks_notice() && isEngineCurrent())
     Socket->reply(from, encodeNotice());
 }
 
@@ -228,7 +241,7 @@
     std::vector<base::Endpoint> gateways;
     for (std::size_t i = 0; i < std::min(due.size(), MaxContacts); ++i)
       gateways.push_back(due[NextContact++ % due.size()]);
-    if (IsEngine)
+    if (isEngineCurrent())
       sendNotice(gateways);
     const bool isNew = Clock.now().Steady - IdentifiedAt < InitialContactPeriod;
     co_await sleepFor(isNew ? InitialContactInterval : ContactInterval);
--- a/src/sidecar/sidecar.h
+++ b/src/sidecar/sidecar.h
@@ -3,6 +3,7 @@
 /// store is unreachable.
 #pragma once
 
+#include "drumlanding/base/clock.h"
 #include "drumlanding/base/result.h"
 #include "drumlanding/base/settings.h"
 #include "drumlanding/gateway/datagram-socket.h"
@@ -32,12 +33,12 @@
 class Sidecar {
 public:
   static base::Result<std::unique_ptr<Sidecar>>
-  start(asio::io_context &io, SidecarSettings settings,
-        gateway::ProtocolCodec codec);
+  start(asio::io_context &io, const base::Clock &clock,
+        SidecarSettings settings, gateway::ProtocolCodec codec);
 
 private:
-  Sidecar(asio::io_context &io, SidecarSettings settings,
-          gateway::ProtocolCodec codec);
+  Sidecar(asio::io_context &io, const base::Clock &clock,
+          SidecarSettings settings, gateway::ProtocolCodec codec);
   asio::awaitable<void> watchEngine();
   asio::awaitable<void> pollUntilDisconnected();
   asio::awaitable<base::Result<http::Response>>
@@ -49,15 +50,17 @@
   void forgetEngine();
   void identifyEngine(const std::string &id);
   void rejectServer(const base::Error &why);
-  void applyReport(const gateway::ServerReport &report);
+  void applyReport(const gateway::ServerReport &report,
+                   base::Instant requestedAt);
+  bool isEngineCurrent() const;
   void sendNotice(const std::vector<base::Endpoint> &gateways);
   std::vector<base::Endpoint> liveGateways() const;
 
   asio::io_context &Io;
+  const base::Clock &Clock;
   SidecarSettings Settings;
   gateway::ProtocolCodec Codec;
   gateway::EventLog Log;
-  base::SystemClock Clock;
   gateway::Peers Gateways;
   std::unique_ptr<gateway::DatagramSocket> Socket;
   gateway::ServerReport LastReport;
@@ -67,6 +70,8 @@
   /// That server has sent a report. An ended engine's address may belong to
   /// another service, whose servers have ids too, but no reports.
   bool IsEngine = false;
+  /// When its last report was requested.
+  base::Instant ReportRequestedAt{};
   /// The last server whose missing report was logged.
   std::string RejectedId;
   /// When the engine on this connection was identified, or the process started.
--- a/test/sidecar-test.cc
+++ b/test/sidecar-test.cc
@@ -46,7 +46,8 @@
     SidecarSettings settings{"sidecar", freeEndpoint(),  EngineAddress, "llm",
                              "a",       {GatewayAddress}};
     SidecarAddress = settings.Listen;
-    auto started = Sidecar::start(Io, settings, platform::makeProtocolCodec());
+    auto started =
+        Sidecar::start(Io, Clock, settings, platform::makeProtocolCodec());
     ASSERT_TRUE(ok(started)) << describe(error(started));
     Instance = std::move(value(started));
   }
@@ -92,7 +93,16 @@
     return isDone;
   }
 
+  void askForNotice() {
+    wire::Gossip request;
+    request.set_name("gateway");
+    request.set_address(base::toString(GatewayAddress));
+    request.set_asks_notice(true);
+    Gateway->send(SidecarAddress, request.SerializeAsString());
+  }
+
   asio::io_context Io{1};
+  base::ManualClock Clock;
   base::Endpoint EngineAddress = freeEndpoint();
   base::Endpoint GatewayAddress = freeEndpoint();
   base::Endpoint SidecarAddress;
@@ -119,11 +129,7 @@
 TEST_F(SidecarTest, AnswersNoticeRequest) {
   ASSERT_TRUE(waitUntil([&] { return hasNotice("first", false); }));
   Notices.clear();
-  wire::Gossip request;
-  request.set_name("gateway");
-  request.set_address(base::toString(GatewayAddress));
-  request.set_asks_notice(true);
-  Gateway->send(SidecarAddress, request.SerializeAsString());
+  askForNotice();
   EXPECT_TRUE(waitUntil([&] { return hasNotice("first", false); }));
 }
 
@@ -149,5 +155,20 @@
   EXPECT_TRUE(waitUntil([&] { return hasNotice("first", false); }));
 }
 
+/// Guards against a sidecar that was suspended while its engine ended and came
+/// back, and then announces the ended one: gateways treated its successor as
+/// replaced for good (issue 38).
+TEST_F(SidecarTest, AnEngineThatWasNotHeardOfLatelyIsNotAnnounced) {
+  ASSERT_TRUE(waitUntil([&] { return hasNotice("first", false); }));
+  HangsOnNextRequest = true;
+  ASSERT_TRUE(waitUntil([&] { return !HangsOnNextRequest; }));
+  Clock.advance(seconds(3));
+  Notices.clear();
+  askForNotice();
+  Id = "second";
+  EXPECT_TRUE(waitUntil([&] { return hasNotice("second", false); }));
+  EXPECT_FALSE(hasNotice("first", false));
+}
+
 } // namespace
 } // namespace drumlanding::sidecar
