http: Closing an idle connection never loses a request that was read

What callers could see: at a gateway's stop, or above 2,000 connections, a kept connection that closes without an answer to a request that a server has run (LOST).

Cause: the close is a task on the connection's strand that asks whether the connection is idle. It still is when the next request was read in the same turn of the event loop, since the coroutine that would say otherwise comes after it. The socket was closed, the request went on to a server, and its response had nowhere to go. The task now ends the wait for a request in place of closing the socket: a read that has completed is not affected, and the request is answered. Ruled out: the timeout of idle connections, which Beast does not run against a read that has completed.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -269,6 +269,7 @@
   void addConnection(const ConnectionPointer &connection);
   void removeConnection(const ConnectionPointer &connection);
   void setIdle(const ConnectionPointer &connection, bool isIdle);
+  static void stopWaiting(const ConnectionPointer &connection);
   void closeIdle();
   bool makeRoom();
   bool closeLongestIdle();
@@ -310,6 +311,15 @@
   Idle.emplace(*connection->IdleRank, connection);
 }
 
+/// Closes a connection that waits for a request, by ending the wait. A request
+/// that has already been read is still served.
+void Server::State::stopWaiting(const ConnectionPointer &connection) {
+  asio::post(connection->Stream.get_executor(), [connection] {
+    if (connection->IsIdle)
+      connection->Stream.cancel();
+  });
+}
+
 /// Closes the connection that has been idle for longest. Returns false if none
 /// is idle.
 bool Server::State::closeLongestIdle() {
@@ -322,11 +332,7 @@
     Idle.erase(Idle.begin());
     connection->IdleRank.reset();
   }
-  asio::post(connection->Stream.get_executor(), [connection] {
-    error_code ec;
-    if (connection->IsIdle)
-      connection->Stream.socket().close(ec);
-  });
+  stopWaiting(connection);
   return true;
 }
 
@@ -355,11 +361,7 @@
 void Server::State::closeIdle() {
   const std::lock_guard guard(Lock);
   for (const ConnectionPointer &connection : Connections)
-    asio::post(connection->Stream.get_executor(), [connection] {
-      error_code ec;
-      if (connection->IsIdle)
-        connection->Stream.socket().close(ec);
-    });
+    stopWaiting(connection);
 }
 
 asio::awaitable<void> Server::State::accept() {
--- a/support/mutants.sh
+++ b/support/mutants.sh
@@ -66,6 +66,7 @@
 failed-write-forgotten|src/http/connection.cc|s/ec\) \{ WriteError = ec; \}/ec) { (void)ec; }/
 undelimited-end-is-completion|src/http/connection.cc|s/!Parser->need_eof\(\) \|\| Parser->is_done\(\)/true/
 limits-of-an-idle-connection|src/http/server.cc|s/const CallerLimits limits = currentLimits\(\);\n//; s/const base::milliseconds idleTimeout = currentLimits\(\)\.IdleTimeout;/const CallerLimits limits = currentLimits();\n  const base::milliseconds idleTimeout = limits.IdleTimeout;/
+idle-close-loses-request|src/http/server.cc|s/connection->Stream\.cancel\(\);/connection->Stream.close();/
 overload-accepted|src/gateway/load-shedder.cc|s/if \(IsOverloaded && /if (false \&\& /
 body-without-limit|src/gateway/forwarded-request.cc|s/if \(!memory\.grow\(value\(piece\)\.size\(\)\)\)/if (!memory.grow(0))/
 LIST
--- a/test/connection-limit-test.cc
+++ b/test/connection-limit-test.cc
@@ -5,9 +5,12 @@
 #include "drumlanding/http/connection.h"
 #include "drumlanding/http/http.h"
 
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
 #include <fcntl.h>
 #include <gtest/gtest.h>
 #include <sys/resource.h>
@@ -165,6 +168,32 @@
   });
 }
 
+/// Guards against an idle connection that is closed when its next request has
+/// been read, so that the request is served and its response lost (issue 38).
+TEST_F(ConnectionLimitTest, ARequestThatWasReadIsAnswered) {
+  constexpr std::string_view Text = "GET / HTTP/1.1\r\nHost: a.example\r\n\r\n";
+  startServer();
+  openIdle(1);
+  tcp::socket &caller = Idle.front();
+  const auto runPending = [&] {
+    Io.restart();
+    while (Io.poll() > 0) {
+    }
+  };
+  asio::write(caller, asio::buffer(Text));
+  runPending();
+  ASSERT_EQ(Requests, 1);
+  std::array<char, 1'000> bytes{};
+  ASSERT_GT(caller.read_some(asio::buffer(bytes)), 0U);
+  // The next request and the close become ready in the same turn of the loop.
+  asio::write(caller, asio::buffer(Text));
+  asio::post(Io, [&] { Callers->closeIdle(); });
+  runPending();
+  boost::system::error_code ec;
+  const std::size_t n = caller.read_some(asio::buffer(bytes), ec);
+  EXPECT_EQ(n > 0, Requests == 2) << ec.message();
+}
+
 TEST_F(ConnectionLimitTest, ConnectionsThatAreNotAcceptedAreClosedUnread) {
   bool accepts = false;
   ServerOptions options;
