sidecar: An engine that once sent a bad report is not forgotten

Now only a server that has sent no report on the connection is dropped; a known engine's bad report is skipped, as it was before.

With it: the comment in afterFinalCopy() stands at the cases that it explains, and the mutant of the announcement fits the code.

--- a/src/gateway/final-copy.cc
+++ b/src/gateway/final-copy.cc
@@ -8,11 +8,10 @@
     return RunState::Stopped;
   switch (response.Code) {
   case Outcome::NotSent:
-  // The source also knows no such run after it has stopped it, and is busy
-  // while it still works on an earlier request: neither shows that the
-  // generation goes on after an earlier request may have stopped it.
   case Outcome::NoSuchRun:
   case Outcome::Busy:
+    // The last two are also the responses after an earlier request has stopped
+    // the generation: they do not show that it still runs.
     return before;
   case Outcome::Copied:
   case Outcome::NoRoom:
--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -116,9 +116,9 @@
   LastReport = {};
 }
 
-/// Requests reports on one connection until it fails or a response is no
-/// report. A restart of the engine closes the connection, so its new id is read
-/// on the next one.
+/// Requests reports on one connection until it fails, or until a server that
+/// has sent none responds otherwise. A restart of the engine closes the
+/// connection, so its new id is read on the next one.
 asio::awaitable<void> Sidecar::pollUntilDisconnected() {
   auto opened =
       co_await http::Connection::open(Settings.Engine, ConnectTimeout);
@@ -139,11 +139,12 @@
     if (!ok(response))
       co_return;
     const auto report = Codec.DecodeReport(value(response));
-    if (!ok(report)) {
+    if (ok(report)) {
+      applyReport(value(report), requestedAt);
+    } else if (!IsEngine) {
       rejectServer(error(report));
       co_return;
     }
-    applyReport(value(report), requestedAt);
     co_await sleepFor(PollInterval);
   }
 }
--- a/support/mutants.sh
+++ b/support/mutants.sh
@@ -33,7 +33,7 @@
 sidecar-notice-lost|src/gateway/gossip.cc|s/  Ctx\.Servers\.applyNotice\(now, fromWire\(message\.notice\(\)\)\);\n//
 unreadable-entry-hides-others|platform/store-reader.cc|s/    changes\.Changes\.push_back\(std::move\(change\)\);/    if (!change.Problem.empty())\n      return base::invalid("servers", change.Problem);\n    changes.Changes.push_back(std::move(change));/
 announced-server-used-at-once|src/gateway/directory.cc|s/    if \(!server\.IsListed && !mayHaveExpired\(now\)\)\n      continue;\n//
-plain-server-announced|src/sidecar/sidecar.cc|s/    if \(!ok\(report\)\) \{\n.*?\n.*?\n    \}\n/    if (!ok(report)) {\n      rejectServer(error(report));\n      continue;\n    }\n/
+plain-server-announced|src/sidecar/sidecar.cc|s/  if \(!IsEngine && !EngineId\.empty\(\)\) \{\n    IsEngine = true;/  if (true) {/; s/  EngineId = id;\n/  EngineId = id;\n  IsEngine = true;\n  ReportRequestedAt = Clock.now().Steady;\n/
 life-confused|src/gateway/directory.cc|s/return a\.count\(\) > 0 && b\.count\(\) > 0 && a < b;/return false \&\& a < b;/
 own-loss-is-outage|src/gateway/gossip.cc|s/if \(message\.watches_list\(\)\)\n/if (false)\n/
 no-grace-after-outage|src/gateway/directory.cc|s/return now < GraceUntil \|\| now - StoreContactAt >= ExpiryTime;/return false \&\& now < GraceUntil;/
