Tests: One store whose config and servers do not change, one test loop

truncated-response-test and endless-response-test had the same stub of the store and the same loop; both use test/fixed-store.h now.

--- a/test/endless-response-test.cc
+++ b/test/endless-response-test.cc
@@ -1,5 +1,6 @@
 // Runs a gateway, and the HTTP client, against servers that send bytes without
 // end, and measures the memory of the process.
+#include "fixed-store.h"
 #include "free-endpoint.h"
 #include "platform/protocol-codec.h"
 #include "shell.h"
@@ -113,38 +114,12 @@
   }
 
   StoreReader storeReader() {
-    StoreReader s;
-    s.ReadConfig = [](const http::ProgressHandler &)
-        -> StoreReader::AsyncResult<ConfigText> {
-      ConfigText text{1, "config"};
-      co_return text;
-    };
-    s.WatchConfig = [](std::uint64_t, milliseconds,
-                       const http::ProgressHandler &)
-        -> StoreReader::AsyncResult<ConfigText> {
-      co_await sleepFor(TestLimit);
-      co_return ConfigText{};
-    };
-    s.ReadServers = [this]() -> StoreReader::AsyncResult<ServerChanges> {
-      ListedServer listed;
-      listed.Id = "s";
-      listed.Service = "shop";
-      listed.Address = Server->Address;
-      listed.Zone = "a";
-      ServerChanges all;
-      all.Changes.push_back({"s", listed});
-      co_return all;
-    };
-    s.WatchServers =
-        [](std::uint64_t,
-           milliseconds wait) -> StoreReader::AsyncResult<ServerChanges> {
-      co_await sleepFor(wait);
-      co_return ServerChanges{};
-    };
-    s.DecodeConfig = [this](std::string_view) -> base::Result<Config> {
-      return makeConfig();
-    };
-    return s;
+    ListedServer listed;
+    listed.Id = "s";
+    listed.Service = "shop";
+    listed.Address = Server->Address;
+    listed.Zone = "a";
+    return test::makeFixedStore(makeConfig(), {listed});
   }
 
   Config makeConfig() const {
@@ -201,20 +176,7 @@
   }
 
   template <typename Body> void runTest(Body body) {
-    bool isDone = false;
-    asio::co_spawn(
-        Io,
-        [&]() -> asio::awaitable<void> {
-          co_await body();
-          isDone = true;
-          Io.stop();
-        },
-        [](std::exception_ptr e) {
-          if (e)
-            std::rethrow_exception(e);
-        });
-    Io.run_for(TestLimit);
-    EXPECT_TRUE(isDone) << "the test hangs";
+    test::runTest(Io, TestLimit, std::move(body));
   }
 
   /// Calls the gateway `count` times at once, and checks that each call gets a
--- a/test/truncated-response-test.cc
+++ b/test/truncated-response-test.cc
@@ -1,5 +1,6 @@
 // Servers stop at each byte of a response's head, or of its body, and close or
 // reset the connection. Nobody may take what they sent for a whole response.
+#include "fixed-store.h"
 #include "free-endpoint.h"
 #include "platform/protocol-codec.h"
 #include "shell.h"
@@ -129,41 +130,16 @@
 class TruncatedResponseTest : public testing::Test {
 protected:
   StoreReader storeReader() {
-    StoreReader s;
-    s.ReadConfig = [](const http::ProgressHandler &)
-        -> StoreReader::AsyncResult<ConfigText> {
-      ConfigText text{1, "config"};
-      co_return text;
+    const auto listed = [](std::string service, base::Endpoint address) {
+      ListedServer server;
+      server.Id = "s-" + service;
+      server.Service = std::move(service);
+      server.Address = std::move(address);
+      server.Zone = "a";
+      return server;
     };
-    s.WatchConfig = [](std::uint64_t, milliseconds,
-                       const http::ProgressHandler &)
-        -> StoreReader::AsyncResult<ConfigText> {
-      co_await sleepFor(TestLimit);
-      co_return ConfigText{};
-    };
-    s.ReadServers = [this]() -> StoreReader::AsyncResult<ServerChanges> {
-      ServerChanges all;
-      for (const char *service : {"shop", "llm"}) {
-        ListedServer listed;
-        listed.Id = std::string("s-") + service;
-        listed.Service = service;
-        listed.Address = service == std::string_view("shop") ? Server.Address
-                                                             : Engine.Address;
-        listed.Zone = "a";
-        all.Changes.push_back({listed.Id, listed});
-      }
-      co_return all;
-    };
-    s.WatchServers =
-        [](std::uint64_t,
-           milliseconds wait) -> StoreReader::AsyncResult<ServerChanges> {
-      co_await sleepFor(wait);
-      co_return ServerChanges{};
-    };
-    s.DecodeConfig = [](std::string_view) -> base::Result<Config> {
-      return makeConfig();
-    };
-    return s;
+    return test::makeFixedStore(makeConfig(), {listed("shop", Server.Address),
+                                               listed("llm", Engine.Address)});
   }
 
   static Config makeConfig() {
@@ -200,20 +176,7 @@
   }
 
   template <typename Body> void runTest(Body body) {
-    bool isDone = false;
-    asio::co_spawn(
-        Io,
-        [&]() -> asio::awaitable<void> {
-          co_await body();
-          isDone = true;
-          Io.stop();
-        },
-        [](std::exception_ptr e) {
-          if (e)
-            std::rethrow_exception(e);
-        });
-    Io.run_for(TestLimit);
-    EXPECT_TRUE(isDone) << "the test hangs";
+    test::runTest(Io, TestLimit, std::move(body));
   }
 
   /// Returns a request that no other has in common with, so that no request is
