Tests: The sidecar is asked whether it announces a server without a report

The one that was missed announces a server before its report: the test ended before the next announcement was due. It now asks the sidecar for its notice as well, and waits as long again; the fault is detected. failed-write-forgotten fits and is detected.

--- a/support/mutants.sh
+++ b/support/mutants.sh
@@ -63,7 +63,7 @@
 part-ends-not-reported|src/gateway/gossip.cc|s/\*message\.add_suspect_parts\(\) = toWire\(report\);/(void)report;/g
 parts-of-all-organisations|src/gateway/request-fingerprint.cc|s/  addPart\(state, organisation\);\n  addPart\(state, part\);/  (void)organisation;\n  addPart(state, part);/
 other-explanations-ignored|src/gateway/part-quarantine.cc|s/return explained\.contains\(keyOf\(end\)\);/return false \&\& explained.contains(keyOf(end));/
-failed-write-forgotten|src/http/connection.cc|s/ec\) \{ WriteError = ec; \}/ec) { (void)ec; }/
+failed-write-forgotten|src/http/connection.cc|s/\{ WriteError = ec; \}/{ (void)ec; }/
 undelimited-end-is-completion|src/http/connection.cc|s/!Parser->need_eof\(\) \|\| Parser->is_done\(\)/true/
 limits-of-an-idle-connection|src/http/server.cc|s/const CallerLimits limits = currentLimits\(\);\n//; s/const base::milliseconds idleTimeout = currentLimits\(\)\.IdleTimeout;/const CallerLimits limits = currentLimits();\n  const base::milliseconds idleTimeout = limits.IdleTimeout;/
 idle-close-loses-request|src/http/server.cc|s/connection->Stream\.cancel\(\);/connection->Stream.close();/
--- a/test/sidecar-test.cc
+++ b/test/sidecar-test.cc
@@ -150,6 +150,8 @@
   HasReport = false;
   constexpr int Reports = 3;
   ASSERT_TRUE(waitUntil([&] { return ReportRequests >= Reports; }));
+  askForNotice();
+  ASSERT_TRUE(waitUntil([&] { return ReportRequests >= 2 * Reports; }));
   EXPECT_FALSE(hasNotice("first", false));
   HasReport = true;
   EXPECT_TRUE(waitUntil([&] { return hasNotice("first", false); }));
