gateway: A request's body is held once

Cause: each attempt copied the caller's request, body included, into the request to the server, and once more into the text that was sent. While a server did not read, both the request and the text were held, and a third copy for a moment. The body is now shared by the request and all attempts, and is sent from there, behind a head of its own. Ruled out: the read from the caller, which moves the body, and the fingerprint, which only reads it.

--- a/include/drumlanding/gateway/protocol-codec.h
+++ b/include/drumlanding/gateway/protocol-codec.h
@@ -5,6 +5,7 @@
 ///   ProtocolCodec codec = platform::makeProtocolCodec();
 ///   CallerRequest r = codec.DecodeRequest(std::move(request));
 ///   http::Request out = codec.EncodeServerRequest(r, metadata);
+///   connection->send(out, r.Body);
 #pragma once
 
 #include "drumlanding/base/result.h"
@@ -14,6 +15,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -24,8 +26,9 @@
 /// A decoded client request.
 struct CallerRequest {
   /// The request as received, without connection headers, the API key, and
-  /// headers that only the gateway may send to a server.
+  /// headers that only the gateway may send to a server, and without its body.
   http::Request Http;
+  http::SharedBody Body = std::make_shared<const std::string>();
   /// Identifies this attempt of the client; empty when the client sent none.
   std::string AttemptId;
   std::string Host;
@@ -133,6 +136,7 @@
 
 struct ProtocolCodec {
   std::function<CallerRequest(http::Request)> DecodeRequest;
+  /// Returns the request to a server but for the body, which stays shared.
   std::function<http::Request(const CallerRequest &, const RequestMetadata &)>
       EncodeServerRequest;
   std::function<ServerResponse(const CallerRequest &,
--- a/include/drumlanding/http/connection.h
+++ b/include/drumlanding/http/connection.h
@@ -37,6 +37,9 @@
 /// Returns whether two header names are equal, ignoring case.
 bool equalIgnoringCase(std::string_view a, std::string_view b);
 
+/// A body that several requests share, such as the attempts at one request.
+using SharedBody = std::shared_ptr<const std::string>;
+
 class Connection : public std::enable_shared_from_this<Connection> {
 public:
   /// Connects within `timeout`. After an error the server has received nothing.
@@ -45,10 +48,15 @@
 
   virtual ~Connection() = default;
 
-  /// Starts sending the request with its headers unchanged, and Content-Length
-  /// if it has a body. Returns immediately, since a server may respond before
-  /// it has read a long body.
-  virtual void send(const Request &request) = 0;
+  /// Starts sending a request: the method, target and headers of `head` as they
+  /// are, Content-Length if there is a body, and `body`, which is not copied.
+  /// Returns immediately, since a server may respond before it has read a long
+  /// body.
+  virtual void send(const Request &head, SharedBody body) = 0;
+  /// Starts sending a request with a copy of its own body.
+  void send(const Request &request) {
+    send(request, std::make_shared<const std::string>(request.Body));
+  }
 
   /// Reads the head of the next response. May be called again after a response
   /// that belongs to another request has been read to its end.
--- a/src/gateway/forwarded-request.cc
+++ b/src/gateway/forwarded-request.cc
@@ -182,7 +182,8 @@
   ++f.Arrivals;
   f.SentAt = f.Ctx.now();
   f.ReadError.reset();
-  f.Connection->send(f.Ctx.Codec.EncodeServerRequest(f.Request, order));
+  f.Connection->send(f.Ctx.Codec.EncodeServerRequest(f.Request, order),
+                     f.Request.Body);
 }
 
 asio::awaitable<std::optional<ServerResponse>>
--- a/src/gateway/request-fingerprint.cc
+++ b/src/gateway/request-fingerprint.cc
@@ -33,7 +33,7 @@
   addPart(state, request.Host);
   addPart(state, request.Http.Target);
   addPart(state, request.PromptDescription);
-  addPart(state, request.Http.Body);
+  addPart(state, *request.Body);
   crypto_generichash_final(&state, fingerprint.Digest.data(),
                            fingerprint.Digest.size());
   return fingerprint;
--- a/src/http/connection.cc
+++ b/src/http/connection.cc
@@ -50,15 +50,16 @@
   return {toErrorCode(ec), base::toString(to), ec.message()};
 }
 
-std::string serialise(const Request &request) {
-  std::string text = request.Method + " " + request.Target + " HTTP/1.1\r\n";
-  for (const Header &h : request.Headers)
+/// Returns the request line and the headers.
+std::string serialiseHead(const Request &head, std::size_t bodyBytes) {
+  std::string text = head.Method + " " + head.Target + " HTTP/1.1\r\n";
+  for (const Header &h : head.Headers)
     text += h.Name + ": " + h.Value + "\r\n";
-  const bool hasBody = !request.Body.empty() || request.Method == "POST" ||
-                       request.Method == "PUT";
+  const bool hasBody =
+      bodyBytes > 0 || head.Method == "POST" || head.Method == "PUT";
   if (hasBody)
-    text += "Content-Length: " + std::to_string(request.Body.size()) + "\r\n";
-  return text + "\r\n" + request.Body;
+    text += "Content-Length: " + std::to_string(bodyBytes) + "\r\n";
+  return text + "\r\n";
 }
 
 class TcpConnection final : public Connection {
@@ -66,12 +67,16 @@
   TcpConnection(base::Endpoint to, beast::tcp_stream stream)
       : Peer(std::move(to)), Stream(std::move(stream)) {}
 
-  void send(const Request &request) override {
-    IsHeadRequest = request.Method == "HEAD";
-    auto text = std::make_shared<std::string>(serialise(request));
-    asio::async_write(Stream.socket(), asio::buffer(*text),
-                      [self = shared_from_this(), this,
-                       text](error_code ec, std::size_t) { WriteError = ec; });
+  using Connection::send;
+  void send(const Request &head, SharedBody body) override {
+    IsHeadRequest = head.Method == "HEAD";
+    auto text =
+        std::make_shared<std::string>(serialiseHead(head, body->size()));
+    const std::array<asio::const_buffer, 2> buffers{asio::buffer(*text),
+                                                    asio::buffer(*body)};
+    asio::async_write(Stream.socket(), buffers,
+                      [self = shared_from_this(), this, text,
+                       body](error_code ec, std::size_t) { WriteError = ec; });
   }
 
   asio::awaitable<Result<ResponseHead>> readHead() override {
