gateway: The bodies of all requests together are bounded

Cause: responses have a bound for all bodies, requests had one for each body only, at up to 2,000 connections.

Refusals are logged (body-refused) and counted. Smaller bodies need no reservation and are not delayed. Tried first: memory reserved as it arrives, with one body allowed to exceed it.

--- a/include/drumlanding/http/http.h
+++ b/include/drumlanding/http/http.h
@@ -11,6 +11,7 @@
 #include "drumlanding/base/clock.h"
 #include "drumlanding/base/result.h"
 #include "drumlanding/base/settings.h"
+#include "drumlanding/http/body-budget.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -103,6 +104,10 @@
   std::size_t MaxConnections = 2'000;
   /// If set, a new connection for which it returns false is closed unread.
   std::function<bool()> AcceptsConnection;
+  /// If set, bounds the memory of all bodies; may be shared by servers.
+  std::shared_ptr<BodyBudget> Bodies;
+  /// The response to a request whose body does not fit into `Bodies`.
+  Response NoRoomForBody{503, "text/plain", "Too many large requests.\n", {}};
   /// Responses to requests that exceed a limit or cannot be parsed.
   Response BodyTooLarge{413, "text/plain", "The body is too large.\n", {}};
   Response HeaderTooLarge{
--- a/src/gateway/forwarded-request.cc
+++ b/src/gateway/forwarded-request.cc
@@ -296,8 +296,9 @@
        fmt::format("{:.2f}", std::chrono::duration<double>(wait).count())});
 }
 
-http::Response makeRefusalWithWait(const ForwardedRequest &f, Verdict verdict,
-                                   Reason reason, base::Duration wait) {
+/// Builds a response without the request's attempt id.
+http::Response makeResponse(Verdict verdict, Reason reason,
+                            base::Duration wait) {
   constexpr int NotRunStatus = 503;
   constexpr int ExpiredStatus = 504;
   constexpr int MayHaveRunStatus = 502;
@@ -313,6 +314,12 @@
     addRetryAfter(response, wait);
   response.Headers.push_back(
       {"Drumlanding-Verdict", std::string(toString(verdict))});
+  return response;
+}
+
+http::Response makeRefusalWithWait(const ForwardedRequest &f, Verdict verdict,
+                                   Reason reason, base::Duration wait) {
+  http::Response response = makeResponse(verdict, reason, wait);
   f.Ctx.Codec.AddAttemptId(f.Request, response);
   return response;
 }
@@ -324,6 +331,11 @@
   return makeRefusalWithWait(f, verdict, reason, retryAfter(reason));
 }
 
+http::Response makeUnreadRefusal() {
+  return makeResponse(Verdict::NotRun, Reason::Overloaded,
+                      retryAfter(Reason::Overloaded));
+}
+
 Reason lossReason(ForwardedRequest &f, Reason loss) {
   if (f.IsExpired)
     return Reason::Expired;
--- a/src/gateway/forwarded-request.h
+++ b/src/gateway/forwarded-request.h
@@ -165,6 +165,10 @@
 http::Response makeRefusal(const ForwardedRequest &f, base::Verdict verdict,
                            base::Reason reason);
 
+/// Builds the response to a request that has not been read to its end, since its
+/// body does not fit into memory.
+http::Response makeUnreadRefusal();
+
 /// Returns why a request that was sent has no response: it has expired, is
 /// quarantined, or its server was lost, which is `loss`.
 base::Reason lossReason(ForwardedRequest &f, base::Reason loss);
--- a/src/gateway/gateway-context.h
+++ b/src/gateway/gateway-context.h
@@ -45,6 +45,7 @@
   std::uint16_t SidecarPort = 0;
   RetryBudgetOptions Retries;
   ResponseLimits Responses;
+  http::BodyBudgetOptions RequestBodies;
   /// Minimum time that a server keeps serving after it has announced a planned
   /// leave.
   base::milliseconds DrainTime{2'000};
@@ -94,6 +95,8 @@
   RetryBudget Budget;
   LoadShedder Shedder;
   ResponseMemory ResponseBodies{Settings.Responses};
+  std::shared_ptr<http::BodyBudget> RequestBodies =
+      std::make_shared<http::BodyBudget>(Settings.RequestBodies);
   base::Random Random;
   std::uint64_t Incarnation = base::secureRandom64();
   Peers GatewayPeers;
--- a/src/gateway/gateway-metrics.cc
+++ b/src/gateway/gateway-metrics.cc
@@ -67,6 +67,10 @@
   metrics.count("drumlanding_gateway_connections_shed_total", {});
 }
 
+void countRefusedBody(base::Metrics &metrics) {
+  metrics.count("drumlanding_gateway_bodies_refused_total", {});
+}
+
 void countStoreCall(base::Metrics &metrics, std::string_view resource,
                     bool isAnswered) {
   metrics.count(
--- a/src/gateway/gateway-metrics.h
+++ b/src/gateway/gateway-metrics.h
@@ -48,6 +48,9 @@
 /// Counts a connection that was closed unread because of overload.
 void countShedConnection(base::Metrics &metrics);
 
+/// Counts a request that was refused because its body did not fit into memory.
+void countRefusedBody(base::Metrics &metrics);
+
 /// Counts a call to the store for a resource, "config" or "servers".
 void countStoreCall(base::Metrics &metrics, std::string_view resource,
                     bool isAnswered);
--- a/src/gateway/main.cc
+++ b/src/gateway/main.cc
@@ -52,6 +52,9 @@
 DEFINE_int64(response_memory_bytes, 24 << 20,
              "[decisions] maximum memory for the responses that are being "
              "received, in bytes, 65536 to 1073741824");
+DEFINE_int64(request_memory_bytes, 24 << 20,
+             "[decisions] maximum memory for the large bodies of callers' "
+             "requests, in bytes, 65536 to 1073741824");
 DEFINE_double(grace_s, 8,
               "[process] seconds from the stop signal to the kill, 1 to 600");
 
@@ -75,7 +78,8 @@
                                       "renewal_ms",
                                       "config_apply_ms",
                                       "max_response_bytes",
-                                      "response_memory_bytes"};
+                                      "response_memory_bytes",
+                                      "request_memory_bytes"};
 
 base::milliseconds toMilliseconds(double seconds) {
   return base::milliseconds(static_cast<std::int64_t>(seconds * 1000));
@@ -112,18 +116,27 @@
   return base::Done{};
 }
 
-base::Result<base::Done> readResponseLimits(gateway::ResponseLimits &limits) {
+base::Result<base::Done> readMemoryLimits(gateway::GatewaySettings &settings) {
+  struct Limit {
+    std::string_view Flag;
+    std::int64_t Bytes;
+    std::size_t &Target;
+  };
+  const Limit limits[] = {{"--max_response_bytes", FLAGS_max_response_bytes,
+                           settings.Responses.MaxBodyBytes},
+                          {"--response_memory_bytes",
+                           FLAGS_response_memory_bytes,
+                           settings.Responses.MaxTotalBytes},
+                          {"--request_memory_bytes", FLAGS_request_memory_bytes,
+                           settings.RequestBodies.MaxBytes}};
   constexpr std::int64_t Min = 64 << 10;
   constexpr std::int64_t Max = 1 << 30;
-  const auto isValid = [](std::int64_t n) { return n >= Min && n <= Max; };
-  if (!isValid(FLAGS_max_response_bytes))
-    return base::invalid("--max_response_bytes",
-                         "must be from 65536 to 1073741824");
-  if (!isValid(FLAGS_response_memory_bytes))
-    return base::invalid("--response_memory_bytes",
-                         "must be from 65536 to 1073741824");
-  limits.MaxBodyBytes = static_cast<std::size_t>(FLAGS_max_response_bytes);
-  limits.MaxTotalBytes = static_cast<std::size_t>(FLAGS_response_memory_bytes);
+  for (const Limit &limit : limits) {
+    if (limit.Bytes < Min || limit.Bytes > Max)
+      return base::invalid(std::string(limit.Flag),
+                           "must be from 65536 to 1073741824");
+    limit.Target = static_cast<std::size_t>(limit.Bytes);
+  }
   return base::Done{};
 }
 
@@ -158,7 +171,7 @@
     return base::invalid("--renewal_ms", "must be from 10 to 600000");
   if (FLAGS_config_apply_ms < 100 || FLAGS_config_apply_ms > 600000)
     return base::invalid("--config_apply_ms", "must be from 100 to 600000");
-  if (auto r = readResponseLimits(settings.Responses); !ok(r))
+  if (auto r = readMemoryLimits(settings); !ok(r))
     return error(r);
   settings.MaxConfigApplyTime = base::milliseconds(FLAGS_config_apply_ms);
   settings.RenewalInterval = base::milliseconds(FLAGS_renewal_ms);
--- a/src/gateway/shell.cc
+++ b/src/gateway/shell.cc
@@ -70,6 +70,12 @@
                           {"certain", isCertain}});
     Migrations.abandonQuarantined();
   };
+  Ctx.RequestBodies->OnRefused = [this] {
+    countRefusedBody(Ctx.Metrics);
+    Ctx.Log.write("body-refused",
+                  {{"bytes", Ctx.RequestBodies->reservedBytes()},
+                   {"open", Ctx.OpenRequests}});
+  };
   Ctx.Servers.OnOutageEnd = [this](base::Duration length) {
     Ctx.Log.write("store-outage-over", {{"ms", base::toMs(length)}});
   };
@@ -133,6 +139,8 @@
       countShedConnection(Ctx.Metrics);
     return isAccepted;
   };
+  options.Bodies = Ctx.RequestBodies;
+  options.NoRoomForBody = makeUnreadRefusal();
   auto callers =
       http::Server::listen(Ctx.Io, Ctx.Settings.Listen, std::move(options),
                            [this](http::Request r, http::Exchange &x) {
@@ -194,8 +202,10 @@
   Ctx.Settings.MaxConfigApplyTime = updated.MaxConfigApplyTime;
   Ctx.Settings.TerminationGracePeriod = updated.TerminationGracePeriod;
   Ctx.Settings.Responses = updated.Responses;
+  Ctx.Settings.RequestBodies = updated.RequestBodies;
   Ctx.Budget.setOptions(updated.Retries);
   Ctx.ResponseBodies.setLimits(updated.Responses);
+  Ctx.RequestBodies->setOptions(updated.RequestBodies);
   Ctx.Log.write("settings-taken", {{"needs_restart", needsRestart}});
 }
 
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -261,7 +261,13 @@
   asio::awaitable<error_code> readRequest(ServerConnection &connection,
                                           beast::flat_buffer &buffer,
                                           Parser &parser,
-                                          const CallerLimits &limits);
+                                          const CallerLimits &limits,
+                                          BodyBudget::Reservation *memory);
+  asio::awaitable<error_code> readBody(ServerConnection &connection,
+                                       beast::flat_buffer &buffer,
+                                       Parser &parser,
+                                       const CallerLimits &limits,
+                                       BodyBudget::Reservation *memory);
   const Response *errorResponse(const error_code &ec) const;
   CallerLimits currentLimits() const {
     return Options.CurrentLimits ? Options.CurrentLimits() : Options.Limits;
@@ -417,10 +423,9 @@
   co_return !ec;
 }
 
-asio::awaitable<error_code>
-Server::State::readRequest(ServerConnection &connection,
-                           beast::flat_buffer &buffer, Parser &parser,
-                           const CallerLimits &limits) {
+asio::awaitable<error_code> Server::State::readRequest(
+    ServerConnection &connection, beast::flat_buffer &buffer, Parser &parser,
+    const CallerLimits &limits, BodyBudget::Reservation *memory) {
   error_code ec;
   parser.header_limit(limits.MaxHeaderBytes);
   parser.body_limit(limits.MaxBodyBytes);
@@ -454,9 +459,33 @@
     if (ec)
       co_return ec;
   }
-  co_await beast::http::async_read(connection.Stream, buffer, parser,
-                                   asio::redirect_error(use_awaitable, ec));
-  co_return ec;
+  co_return co_await readBody(connection, buffer, parser, limits, memory);
+}
+
+/// Reads the body, and reserves its memory once it turns out to be large. One
+/// without a length counts as the largest that is allowed until it is complete.
+asio::awaitable<error_code> Server::State::readBody(
+    ServerConnection &connection, beast::flat_buffer &buffer, Parser &parser,
+    const CallerLimits &limits, BodyBudget::Reservation *memory) {
+  const std::string &body = parser.get().body();
+  bool isReserved = memory == nullptr;
+  while (!parser.is_done()) {
+    error_code ec;
+    co_await beast::http::async_read_some(
+        connection.Stream, buffer, parser,
+        asio::redirect_error(use_awaitable, ec));
+    if (ec)
+      co_return ec;
+    if (isReserved || body.size() <= BodyBudget::MaxUnreservedBytes)
+      continue;
+    isReserved = co_await memory->reserve(
+        parser.content_length().value_or(limits.MaxBodyBytes));
+    if (!isReserved)
+      co_return asio::error::no_memory;
+  }
+  if (memory)
+    memory->shrink(body.size());
+  co_return error_code();
 }
 
 /// Returns the response to a request that could not be read; null if the caller
@@ -465,6 +494,8 @@
   using beast::http::error;
   if (ec == error::body_limit)
     return &Options.BodyTooLarge;
+  if (ec == asio::error::no_memory)
+    return &Options.NoRoomForBody;
   if (ec == error::header_limit)
     return &Options.HeaderTooLarge;
   if (ec == beast::error::timeout)
@@ -484,8 +515,11 @@
   // The limits may have changed while the connection was idle.
   const CallerLimits limits = currentLimits();
   Parser parser;
-  const error_code ec =
-      co_await readRequest(*connection, buffer, parser, limits);
+  std::optional<BodyBudget::Reservation> memory;
+  if (Options.Bodies)
+    memory.emplace(Options.Bodies, connection->Stream.get_executor());
+  const error_code ec = co_await readRequest(
+      *connection, buffer, parser, limits, memory ? &*memory : nullptr);
   const bool keepAlive = !ec && parser.get().keep_alive();
   HttpExchange exchange(connection->Stream, keepAlive, limits.IdleTimeout);
   if (ec) {
--- a/support/mutants.sh
+++ b/support/mutants.sh
@@ -18,7 +18,7 @@
 UNITS=(gateway-test platform-test sidecar-test forwarding-test store-session-test
   request-limit-test quarantine-test query-of-death-test endless-response-test
   part-quarantine-test prompt-part-test connection-limit-test
-  truncated-response-test)
+  truncated-response-test large-request-test)
 PROGRAMS=(drumlanding-gateway drumlanding-sidecar fake-platform soak)
 SOAK_SEED=501
 
@@ -67,6 +67,8 @@
 undelimited-end-is-completion|src/http/connection.cc|s/!Parser->need_eof\(\) \|\| Parser->is_done\(\)/true/
 limits-of-an-idle-connection|src/http/server.cc|s/const CallerLimits limits = currentLimits\(\);\n//; s/const base::milliseconds idleTimeout = currentLimits\(\)\.IdleTimeout;/const CallerLimits limits = currentLimits();\n  const base::milliseconds idleTimeout = limits.IdleTimeout;/
 idle-close-loses-request|src/http/server.cc|s/connection->Stream\.cancel\(\);/connection->Stream.close();/
+body-memory-ignored|src/http/body-budget.cc|s/ReservedBytes \+ bytes <= Options\.MaxBytes/true/
+body-waits-without-end|src/http/body-budget.cc|s/ && Clock::now\(\) < expiry//
 overload-accepted|src/gateway/load-shedder.cc|s/if \(IsOverloaded && /if (false \&\& /
 body-without-limit|src/gateway/forwarded-request.cc|s/if \(!memory\.grow\(value\(piece\)\.size\(\)\)\)/if (!memory.grow(0))/
 LIST
--- a/test/large-request-test.cc
+++ b/test/large-request-test.cc
@@ -37,6 +37,9 @@
 constexpr std::size_t BodyBytes = 4 * Megabyte;
 constexpr std::size_t PieceBytes = 64 << 10;
 const std::string Piece(PieceBytes, 'x');
+constexpr std::size_t SmallBodyBytes = 600;
+/// Half of the memory of the smallest gateway VM on the users' sheets, 88 MB.
+constexpr std::size_t MaxGrowth = 44 * Megabyte;
 
 std::size_t residentBytes() {
   std::ifstream file("/proc/self/statm");
@@ -239,5 +242,45 @@
   });
 }
 
+/// Guards against bursts of large requests that exhaust a gateway's memory, so
+/// that the process is killed and what it holds is lost (issue 38).
+TEST_F(LargeRequestTest, BurstsOfLargeBodiesAreBounded) {
+  constexpr int Calls = 21;
+  constexpr int SmallCalls = 20;
+  test::runTest(Io, TestLimit, [&]() -> asio::awaitable<void> {
+    Server.WorkTime = milliseconds(20);
+    // So long that no body is refused on a slow machine.
+    Settings.RequestBodies.MaxWait = TestLimit;
+    co_await startGateway();
+    startCalls(Calls, BodyBytes);
+    startCalls(SmallCalls, SmallBodyBytes);
+    co_await waitForCalls();
+    EXPECT_LT(growth(), MaxGrowth);
+    EXPECT_EQ(Statuses[200], Calls + SmallCalls);
+  });
+}
+
+/// Guards against callers that wait for the memory of others until they give up
+/// (issue 38).
+TEST_F(LargeRequestTest, BodiesThatFindNoRoomAreRefusedEarly) {
+  constexpr int Calls = 12;
+  const int Fitting =
+      static_cast<int>(Settings.RequestBodies.MaxBytes / BodyBytes);
+  test::runTest(Io, TestLimit, [&]() -> asio::awaitable<void> {
+    Server.IsHeld = true;
+    co_await startGateway();
+    startCalls(Calls, BodyBytes);
+    while (Statuses[503] < Calls - Fitting)
+      co_await sleepFor(PollInterval);
+    // Small requests need no reservation.
+    startCalls(1, SmallBodyBytes);
+    Server.IsHeld = false;
+    co_await waitForCalls();
+    EXPECT_LT(growth(), MaxGrowth);
+    EXPECT_EQ(Statuses[200], Fitting + 1);
+    EXPECT_EQ(Statuses[503], Calls - Fitting);
+  });
+}
+
 } // namespace
 } // namespace drumlanding::gateway
