http: A body's memory is allocated when there is room for it

Cause: Beast's string_body allocates the announced length before the first byte arrives. That is only address space at first, but freed blocks are used again and stay resident, so that a waiting body held the pages of an earlier one. The body now grows as it arrives, and is allocated with its reservation.

There is no test of its own: the growth in LargeRequestTest was within its bound before too.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -47,7 +47,37 @@
   return text + "data: " + event.Data + "\n\n";
 }
 
-Request toRequest(beast::http::request<beast::http::string_body> message) {
+/// A request's body in a string. Beast's own allocates the announced length
+/// before the first byte arrives.
+struct RequestBody {
+  using value_type = std::string;
+
+  class reader {
+  public:
+    template <bool IsRequest, typename Fields>
+    reader(beast::http::header<IsRequest, Fields> &, value_type &body)
+        : Body(body) {}
+
+    static void init(const boost::optional<std::uint64_t> &, error_code &ec) {
+      ec = {};
+    }
+
+    template <typename Buffers>
+    std::size_t put(const Buffers &buffers, error_code &ec) {
+      ec = {};
+      for (const asio::const_buffer buffer : beast::buffers_range_ref(buffers))
+        Body.append(static_cast<const char *>(buffer.data()), buffer.size());
+      return beast::buffer_bytes(buffers);
+    }
+
+    static void finish(error_code &ec) { ec = {}; }
+
+  private:
+    value_type &Body;
+  };
+};
+
+Request toRequest(beast::http::request<RequestBody> message) {
   Request request;
   request.Method = std::string(message.method_string());
   request.Target = std::string(message.target());
@@ -249,7 +279,7 @@
     std::optional<std::uint64_t> IdleRank;
   };
   using ConnectionPointer = std::shared_ptr<ServerConnection>;
-  using Parser = beast::http::request_parser<beast::http::string_body>;
+  using Parser = beast::http::request_parser<RequestBody>;
 
   asio::awaitable<void> accept();
   asio::awaitable<void> serve(ConnectionPointer connection);
@@ -467,7 +497,7 @@
 asio::awaitable<error_code> Server::State::readBody(
     ServerConnection &connection, beast::flat_buffer &buffer, Parser &parser,
     const CallerLimits &limits, BodyBudget::Reservation *memory) {
-  const std::string &body = parser.get().body();
+  std::string &body = parser.get().body();
   bool isReserved = memory == nullptr;
   while (!parser.is_done()) {
     error_code ec;
@@ -482,6 +512,7 @@
         parser.content_length().value_or(limits.MaxBodyBytes));
     if (!isReserved)
       co_return asio::error::no_memory;
+    body.reserve(parser.content_length().value_or(0));
   }
   if (memory)
     memory->shrink(body.size());
