--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -52,7 +52,8 @@
 struct RequestBody {
   using value_type = std::string;
 
-  class reader {
+  // Beast requires this name.
+  class reader { // NOLINT(readability-identifier-naming)
   public:
     template <bool IsRequest, typename Fields>
     reader(beast::http::header<IsRequest, Fields> &, value_type &body)
