gateway: An entry does not disprove the end of a server that refused connections

Callers whose prompts share a part under which engines crash were refused after the third end, as they should be.

Cause: evidence is withdrawn when a server is still listed five renewals after its end, under the same start time. The platform tells no start time, so that an entry which expires late, or is renewed after a restart, reads like a server that lives on. Ruled out: trials of a quarantined part (FirstTrialDelay), which are 600 s away for a part that is certain.

A server that closes a connection is asked for a new one 30 ms later, to find out whether it has ended. When its address refuses that, the end is now confirmed, at all gateways, and without a start time the entry does not withdraw it. A server that lives on responds to that question, and its evidence is withdrawn as before. server-end-checked says whether the address refused.

--- a/include/drumlanding/gateway/part-quarantine.h
+++ b/include/drumlanding/gateway/part-quarantine.h
@@ -89,6 +89,7 @@
   /// Evidence, as for requests. See Quarantine.
   void recordResponse(base::Instant now, const ServerInstance &server);
   void recordVerification(const VerificationResponse &response);
+  void recordRefusal(base::Instant now, const ServerInstance &server);
   void withdrawOutlived(
       base::Instant now,
       const std::function<bool(const ServerInstance &, base::Instant endAt)>
--- a/include/drumlanding/gateway/quarantine.h
+++ b/include/drumlanding/gateway/quarantine.h
@@ -68,6 +68,8 @@
   base::Duration Age{0};
   /// The server has been seen alive since.
   bool IsWithdrawn = false;
+  /// The server's address has refused a connection since.
+  bool IsConfirmed = false;
 };
 
 /// All that is known against a request, or against a part of prompts.
@@ -163,8 +165,12 @@
   /// not its end, unless it has restarted since: its start time tells, or a
   /// response so early that it cannot have.
   void recordVerification(const VerificationResponse &response);
+  /// Records that the address of a server that closed connections has refused
+  /// another one: its process has ended.
+  void recordRefusal(base::Instant now, const ServerInstance &server);
   /// Withdraws the evidence of closed connections of servers that `hasOutlived`
-  /// it.
+  /// it. A server that has ended and whose start time is unknown may have
+  /// restarted under its id.
   void withdrawOutlived(
       base::Instant now,
       const std::function<bool(const ServerInstance &, base::Instant endAt)>
@@ -219,6 +225,7 @@
     EndKind Kind = EndKind::Closed;
     base::Instant ObservedAt{};
     bool IsWithdrawn = false;
+    bool IsConfirmed = false;
   };
   struct Suspect {
     std::string Organisation;
--- a/include/drumlanding/http/http.h
+++ b/include/drumlanding/http/http.h
@@ -144,6 +144,8 @@
   /// False if no connection was established: the server received nothing.
   bool IsConnected = false;
   base::Result<Response> Outcome;
+  /// The VM refused the connection: no process listens at the address.
+  bool IsRefused = false;
 };
 
 /// Sends a request on a new connection and reads the response. The timeout
--- a/src/gateway/forwarded-request.h
+++ b/src/gateway/forwarded-request.h
@@ -165,8 +165,8 @@
 http::Response makeRefusal(const ForwardedRequest &f, base::Verdict verdict,
                            base::Reason reason);
 
-/// Builds the response to a request that has not been read to its end, since its
-/// body does not fit into memory.
+/// Builds the response to a request that has not been read to its end, since
+/// its body does not fit into memory.
 http::Response makeUnreadRefusal();
 
 /// Returns why a request that was sent has no response: it has expired, is
--- a/src/gateway/gossip-messages.cc
+++ b/src/gateway/gossip-messages.cc
@@ -85,6 +85,7 @@
     e.set_is_silent(end.Kind == EndKind::Silent);
     e.set_age_ms(toMs(end.Age));
     e.set_is_withdrawn(end.IsWithdrawn);
+    e.set_is_confirmed(end.IsConfirmed);
   }
   return out;
 }
@@ -104,7 +105,8 @@
                         end.occurrence(),
                         end.is_silent() ? EndKind::Silent : EndKind::Closed,
                         milliseconds(end.age_ms()),
-                        end.is_withdrawn()});
+                        end.is_withdrawn(),
+                        end.is_confirmed()});
   return out;
 }
 
--- a/src/gateway/part-quarantine.cc
+++ b/src/gateway/part-quarantine.cc
@@ -220,6 +220,11 @@
   update(response.ReceivedAt);
 }
 
+void PartQuarantine::recordRefusal(base::Instant now,
+                                   const ServerInstance &server) {
+  Evidence.recordRefusal(now, server);
+}
+
 void PartQuarantine::withdrawOutlived(
     base::Instant now,
     const std::function<bool(const ServerInstance &, base::Instant endAt)>
--- a/src/gateway/quarantine.cc
+++ b/src/gateway/quarantine.cc
@@ -20,9 +20,12 @@
 /// Messages to the other gateways that carry a change, in case one is lost.
 constexpr int SendsPerChange = 2;
 
+bool isStartTimeKnown(const ServerInstance &server) {
+  return server.StartedAt != base::milliseconds(0);
+}
+
 bool areStartTimesKnown(const ServerInstance &a, const ServerInstance &b) {
-  constexpr base::milliseconds Unknown{0};
-  return a.StartedAt != Unknown && b.StartedAt != Unknown;
+  return isStartTimeKnown(a) && isStartTimeKnown(b);
 }
 
 /// Returns true unless the start times show that these are different lives.
@@ -120,7 +123,7 @@
   Suspect &suspect = it->second;
   suspect.Organisation = unanswered.Organisation;
   suspect.Part = unanswered.Part;
-  End end{unanswered.Server, 0, unanswered.Kind, now, false};
+  End end{unanswered.Server, 0, unanswered.Kind, now};
   for (const End &known : suspect.Ends) {
     if (known.Server != unanswered.Server)
       continue;
@@ -231,13 +234,31 @@
   });
 }
 
+void Quarantine::recordRefusal(base::Instant now,
+                               const ServerInstance &server) {
+  for (auto &entry : Suspects) {
+    bool isChanged = false;
+    for (End &end : entry.second.Ends) {
+      if (end.IsConfirmed || end.IsWithdrawn || end.Server != server ||
+          end.Kind != EndKind::Closed)
+        continue;
+      end.IsConfirmed = true;
+      isChanged = true;
+    }
+    if (isChanged)
+      markChanged(now, entry, "server");
+  }
+}
+
 void Quarantine::withdrawOutlived(
     base::Instant now,
     const std::function<bool(const ServerInstance &, base::Instant endAt)>
         &hasOutlived) {
   withdraw(now, [&](const End &end) {
+    const bool mayHaveRestarted =
+        end.IsConfirmed && !isStartTimeKnown(end.Server);
     // A process that hangs may go on renewing its entry.
-    return end.Kind == EndKind::Closed &&
+    return end.Kind == EndKind::Closed && !mayHaveRestarted &&
            hasOutlived(end.Server, end.ObservedAt);
   });
 }
@@ -315,7 +336,8 @@
   SuspectReport out{fingerprint, suspect.Organisation, suspect.Part, {}, {}};
   for (const End &end : suspect.Ends)
     out.Ends.push_back({end.Server, end.Occurrence, end.Kind,
-                        now - end.ObservedAt, end.IsWithdrawn});
+                        now - end.ObservedAt, end.IsWithdrawn,
+                        end.IsConfirmed});
   if (suspect.ClearedAt)
     out.ClearedAge = now - *suspect.ClearedAt;
   return out;
@@ -409,11 +431,13 @@
         suspect.Ends.begin(), suspect.Ends.end(), [&](const End &e) {
           return e.Server == end.Server && e.Occurrence == end.Occurrence;
         });
-    if (known != suspect.Ends.end())
+    if (known != suspect.Ends.end()) {
       known->IsWithdrawn |= end.IsWithdrawn;
-    else if (makeRoom(now, suspect, now - end.Age))
+      known->IsConfirmed |= end.IsConfirmed;
+    } else if (makeRoom(now, suspect, now - end.Age)) {
       addEnd(suspect, {end.Server, end.Occurrence, end.Kind, now - end.Age,
-                       end.IsWithdrawn});
+                       end.IsWithdrawn, end.IsConfirmed});
+    }
   }
   reportState(now, *it, from);
   evictExcess(now);
--- a/src/gateway/suspect-requests.cc
+++ b/src/gateway/suspect-requests.cc
@@ -201,10 +201,17 @@
   return ServerInstance{health.Id, health.StartedAt};
 }
 
-/// Asks a server for its start time. Returns none if it does not respond: a
-/// port that accepts connections may outlive its server.
-asio::awaitable<std::optional<VerificationResponse>>
-requestVerification(GatewayContext &ctx, ListedServer server) {
+struct Verification {
+  /// None if the server does not respond: a port that accepts connections may
+  /// outlive it.
+  std::optional<VerificationResponse> Response;
+  /// No process listens at the server's address.
+  bool IsRefused = false;
+};
+
+/// Asks a server for its start time.
+asio::awaitable<Verification> requestVerification(GatewayContext &ctx,
+                                                  ListedServer server) {
   const Service *service =
       ctx.Routes ? ctx.Routes->config().service(server.Service) : nullptr;
   const bool isEngine = service && service->Engine;
@@ -213,12 +220,26 @@
   const base::Instant requestedAt = ctx.now();
   const http::FetchResult fetched =
       co_await http::fetch(server.Address, std::move(request), VerifyTimeout);
-  if (!ok(fetched.Outcome))
-    co_return std::nullopt;
-  auto instance = identify(ctx, server, isEngine, value(fetched.Outcome));
-  if (!instance)
-    co_return std::nullopt;
-  co_return VerificationResponse{std::move(*instance), requestedAt, ctx.now()};
+  Verification verification{{}, fetched.IsRefused};
+  std::optional<ServerInstance> instance;
+  if (ok(fetched.Outcome))
+    instance = identify(ctx, server, isEngine, value(fetched.Outcome));
+  if (instance)
+    verification.Response = {std::move(*instance), requestedAt, ctx.now()};
+  const auto &response = verification.Response;
+  ctx.Log.write(
+      "server-end-checked",
+      {{"server", server.Id},
+       {"responds", response.has_value()},
+       {"refuses", verification.IsRefused},
+       {"started_ms", response ? response->Server.StartedAt.count() : 0}});
+  co_return verification;
+}
+
+void recordRefusal(GatewayContext &ctx, const ListedServer &server) {
+  const ServerInstance instance{server.Id, server.StartedAt};
+  ctx.Suspects.recordRefusal(ctx.now(), instance);
+  ctx.SuspectParts.recordRefusal(ctx.now(), instance);
 }
 
 /// Finds out whether a server that closed a connection has ended. Repeats this
@@ -231,16 +252,14 @@
     const base::Duration age = ctx.now() - closedAt;
     if (age < Quarantine::MaxExitTime)
       co_await daemon::sleepFor(Quarantine::MaxExitTime - age);
-    const auto response = co_await requestVerification(ctx, server.Listed);
-    if (response) {
-      ctx.Suspects.recordVerification(*response);
-      ctx.SuspectParts.recordVerification(*response);
+    const Verification verification =
+        co_await requestVerification(ctx, server.Listed);
+    if (verification.Response) {
+      ctx.Suspects.recordVerification(*verification.Response);
+      ctx.SuspectParts.recordVerification(*verification.Response);
     }
-    ctx.Log.write(
-        "server-end-checked",
-        {{"server", id},
-         {"responds", response.has_value()},
-         {"started_ms", response ? response->Server.StartedAt.count() : 0}});
+    if (verification.IsRefused)
+      recordRefusal(ctx, server.Listed);
   }
   ctx.ClosedAtByServer.erase(id);
 }
@@ -294,16 +313,17 @@
 asio::awaitable<void> verifyCompletion(ForwardedRequestPointer f, Server server,
                                        AttemptOutcome outcome) {
   co_await daemon::sleepFor(Quarantine::MaxExitTime);
-  const auto response = co_await requestVerification(f->Ctx, server.Listed);
-  f->Ctx.Log.write(
-      "server-end-checked",
-      {{"server", server.Listed.Id},
-       {"responds", response.has_value()},
-       {"started_ms", response ? response->Server.StartedAt.count() : 0}});
-  if (response)
+  const Verification verification =
+      co_await requestVerification(f->Ctx, server.Listed);
+  if (verification.Response) {
     recordServed(*f, outcome);
-  else if (!hasAnnouncedEnd(f->Ctx, server))
-    recordEnd(*f, server, EndKind::Closed);
+    co_return;
+  }
+  if (hasAnnouncedEnd(f->Ctx, server))
+    co_return;
+  recordEnd(*f, server, EndKind::Closed);
+  if (verification.IsRefused)
+    recordRefusal(f->Ctx, server.Listed);
 }
 
 } // namespace
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -188,7 +188,8 @@
   beast::tcp_stream stream(co_await asio::this_coro::executor);
   stream.expires_after(responseTimeout);
   if (const error_code ec = co_await connect(stream, to); ec)
-    co_return FetchResult{false, toError(to, ec)};
+    co_return FetchResult{false, toError(to, ec),
+                          ec == asio::error::connection_refused};
   auto message = toMessage(to, std::move(request));
   error_code ec =
       co_await writeRequest(stream, std::move(message), idleTimeout);
--- a/support/mutants.sh
+++ b/support/mutants.sh
@@ -60,6 +60,7 @@
 closed-connection-not-verified|src/gateway/suspect-requests.cc|s/  if \(\*kind == EndKind::Closed\)\n    scheduleVerification\(f\.Ctx, server\);\n/  (void)scheduleVerification;\n/
 isolated-share-forgotten|src/gateway/peers.cc|s/SharedBudgetTimeout\{300\}/SharedBudgetTimeout{15}/
 part-quarantine-ignored|src/gateway/forwarded-request.cc|s/if \(f\.Ctx\.SuspectParts\.isQuarantined\(part\)\)/if (false)/
+refusal-forgotten|src/gateway/quarantine.cc|s/      end\.IsConfirmed = true;\n//
 part-ends-not-reported|src/gateway/gossip.cc|s/\*message\.add_suspect_parts\(\) = toWire\(report\);/(void)report;/g
 parts-of-all-organisations|src/gateway/request-fingerprint.cc|s/  addPart\(state, organisation\);\n  addPart\(state, part\);/  (void)organisation;\n  addPart(state, part);/
 other-explanations-ignored|src/gateway/part-quarantine.cc|s/return explained\.contains\(keyOf\(end\)\);/return false \&\& explained.contains(keyOf(end));/
--- a/test/large-request-test.cc
+++ b/test/large-request-test.cc
@@ -264,21 +264,21 @@
 /// (issue 38).
 TEST_F(LargeRequestTest, BodiesThatFindNoRoomAreRefusedEarly) {
   constexpr int Calls = 12;
-  const int Fitting =
+  const int fitting =
       static_cast<int>(Settings.RequestBodies.MaxBytes / BodyBytes);
   test::runTest(Io, TestLimit, [&]() -> asio::awaitable<void> {
     Server.IsHeld = true;
     co_await startGateway();
     startCalls(Calls, BodyBytes);
-    while (Statuses[503] < Calls - Fitting)
+    while (Statuses[503] < Calls - fitting)
       co_await sleepFor(PollInterval);
     // Small requests need no reservation.
     startCalls(1, SmallBodyBytes);
     Server.IsHeld = false;
     co_await waitForCalls();
     EXPECT_LT(growth(), MaxGrowth);
-    EXPECT_EQ(Statuses[200], Fitting + 1);
-    EXPECT_EQ(Statuses[503], Calls - Fitting);
+    EXPECT_EQ(Statuses[200], fitting + 1);
+    EXPECT_EQ(Statuses[503], Calls - fitting);
   });
 }
 
--- a/test/mortal-servers.h
+++ b/test/mortal-servers.h
@@ -121,7 +121,7 @@
   ListedServer listed() const {
     ListedServer s;
     s.Id = Id;
-    s.StartedAt = StartedAt;
+    s.StartedAt = HasStartTime ? StartedAt : milliseconds(0);
     s.Service = "shop";
     s.Address = Address;
     s.Zone = "a";
@@ -140,6 +140,8 @@
   /// Requests with a deadly part: what precedes the end.
   ResponseStart Start = ResponseStart::Head;
   BodyFraming Framing = BodyFraming::Delimited;
+  /// False if neither its entry nor its health tells when it started.
+  bool HasStartTime = true;
   /// Restart: time from the end to the start.
   milliseconds RestartTime{100};
   /// SlowExit: time from the end of the connections to that of the port.
@@ -303,7 +305,8 @@
   }
   std::string makeHealth() const {
     const std::string body =
-        "{\"born\":" + std::to_string(StartedAt.count()) + "}";
+        HasStartTime ? "{\"born\":" + std::to_string(StartedAt.count()) + "}"
+                     : "";
     return "HTTP/1.1 200 OK\r\nX-Instance-Id: " + Id +
            "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
            body;
--- a/test/prompt-part-test.cc
+++ b/test/prompt-part-test.cc
@@ -174,6 +174,31 @@
   });
 }
 
+/// Guards against a server that restarts under its id before its entry expires,
+/// and is taken for one that did not end: once its evidence was withdrawn, the
+/// part ended servers anew (issue 32, BUDGET).
+TEST_F(PromptPartTest, AnEntryThatIsRenewedAfterARestartProvesNothing) {
+  startDeployment();
+  for (const auto &server : Servers) {
+    server->HasStartTime = false;
+    server->RestartTime = RenewalInterval;
+  }
+  runTest([&]() -> asio::awaitable<void> {
+    ++OpenCallers;
+    const auto sound = [](int i) { return Parts{"aa", uniquePart(i)}; };
+    asio::co_spawn(Io, sendSound("school", sound), asio::detached);
+    co_await sleepFor(PartQuarantine::LearningTime + seconds(1));
+    const std::vector<Parts> deadly{{"aa", std::string(DeadlyPart)}};
+    co_await sendDeadly(deadly,
+                        PartQuarantine::CommonCauseTime + milliseconds(50));
+    --OpenCallers;
+    EXPECT_LE(Deadly.Ends.size(), ToleratedEnds);
+    co_await sleepFor(seconds(1));
+    expectFewLateArrivals();
+    expectServed("school");
+  });
+}
+
 /// Guards against gateways that all restart, and let a part that was
 /// quarantined end servers anew (issue 32, BUDGET).
 TEST_F(PromptPartTest, AQuarantinedPartStaysSoWhenAllGatewaysRestart) {
--- a/test/quarantine-test.cc
+++ b/test/quarantine-test.cc
@@ -132,6 +132,32 @@
   EXPECT_EQ(Q.state(Start + seconds(6), Deadly), State::Suspect);
 }
 
+/// Guards against a server that has ended and restarted under its id, whose
+/// renewed entry is taken for a proof that it did not end (issue 32).
+TEST_F(QuarantineTest, AnEntryProvesNothingAfterARefusalIfNoStartTimeIsKnown) {
+  constexpr seconds EntryLifetime{6};
+  const auto hasOutlived = [](const ServerInstance &, base::Instant) {
+    return true;
+  };
+  end(Start, 1, EndKind::Closed, 0);
+  Q.recordRefusal(Start, server(1, 0));
+  const auto reports = Q.reports(Start);
+  Other.applyReport(Start, "a", reports.at(0));
+  for (Quarantine *q : {&Q, &Other}) {
+    q->withdrawOutlived(Start + EntryLifetime, hasOutlived);
+    EXPECT_EQ(q->state(Start + EntryLifetime, Deadly), State::Suspect);
+  }
+}
+
+TEST_F(QuarantineTest, AnEntryWithTheSameStartTimeProvesThatAServerLivesOn) {
+  constexpr seconds EntryLifetime{6};
+  end(Start, 1, EndKind::Closed, 7);
+  Q.recordRefusal(Start, server(1, 7));
+  Q.withdrawOutlived(Start + EntryLifetime, [](const ServerInstance &,
+                                               base::Instant) { return true; });
+  EXPECT_EQ(Q.state(Start + EntryLifetime, Deadly), State::Clear);
+}
+
 TEST_F(QuarantineTest, AResponseEndsASilenceButNoClosedLife) {
   end(Start, 1, EndKind::Silent);
   end(Start, 2, EndKind::Closed);
