--- a/review/standins-2/standins.cc
+++ b/review/standins-2/standins.cc
@@ -198,6 +198,12 @@
   Descriptor = -1;
 }
 
+void Channel::reset() {
+  const linger discard{1, 0};
+  ::setsockopt(Descriptor, SOL_SOCKET, SO_LINGER, &discard, sizeof discard);
+  close();
+}
+
 std::string Message::header(std::string_view name) const {
   for (const auto &[key, value] : Headers)
     if (equalIgnoringCase(key, name))
@@ -256,9 +262,10 @@
   return text + std::string(body);
 }
 
-Listener::Listener(Handler handler) {
+Listener::Listener(Handler handler, const std::string &ip) {
   const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
   sockaddr_in address = loopback(0);
+  address.sin_addr.s_addr = ::inet_addr(ip.c_str());
   socklen_t size = sizeof address;
   if (::bind(descriptor, reinterpret_cast<sockaddr *>(&address), size) != 0 ||
       ::listen(descriptor, Backlog) != 0 ||
@@ -458,6 +465,7 @@
 }
 
 std::unique_ptr<Program> makeSidecar(const std::string &folder, int udpPort,
+                                     const std::string &engineIp,
                                      int enginePort, const std::string &service,
                                      const std::string &seed) {
   const std::string name = "side-" + std::to_string(enginePort);
@@ -466,9 +474,9 @@
       readFile("deploy/sidecar.settings"),
       {{"node", name},
        {"zone", "zone-a"},
-       {"ip", "127.0.0.1"},
+       {"ip", engineIp},
        {"portRange.0", std::to_string(udpPort)},
-       {"app", "127.0.0.1:" + std::to_string(enginePort)},
+       {"app", engineIp + ":" + std::to_string(enginePort)},
        {"seeds", seed},
        {"backend", service}});
   return std::make_unique<Program>("target/drumlanding-sidecar", file,
@@ -476,9 +484,9 @@
 }
 
 std::string makeServerEntry(const std::string &service, int port, int slots,
-                            const std::string &state) {
+                            const std::string &state, const std::string &ip) {
   return "{\"backend\":" + quote(service) +
-         ",\"address\":" + quote("127.0.0.1:" + std::to_string(port)) +
+         ",\"address\":" + quote(ip + ":" + std::to_string(port)) +
          ",\"zone\":\"zone-a\",\"version\":\"v1\",\"slots\":" +
          std::to_string(slots) + ",\"state\":" + quote(state) +
          ",\"coldLeftMs\":0,\"seq\":1}";
--- a/review/standins-2/standins.h
+++ b/review/standins-2/standins.h
@@ -77,6 +77,8 @@
   /// Returns whether the peer has closed the channel.
   bool isClosedByPeer() const;
   void close();
+  /// Closes the channel so that the peer gets a reset.
+  void reset();
 
 private:
   bool fill();
@@ -113,10 +115,11 @@
              std::string_view body);
 
 /// Accepts connections on a loopback port and handles each on a thread.
+/// `address` is any loopback address.
 class Listener {
 public:
   using Handler = std::function<void(Channel &)>;
-  explicit Listener(Handler handler);
+  explicit Listener(Handler handler, const std::string &address = "127.0.0.1");
   int port() const { return Port; }
 
 private:
@@ -201,14 +204,17 @@
   std::unique_ptr<Program> Process;
 };
 
-/// A sidecar with the settings template of the deploy file.
+/// A sidecar with the settings template of the deploy file, on the machine of
+/// its engine.
 std::unique_ptr<Program> makeSidecar(const std::string &folder, int udpPort,
+                                     const std::string &engineIp,
                                      int enginePort, const std::string &service,
                                      const std::string &seed);
 
 /// The entry of a server in the store.
 std::string makeServerEntry(const std::string &service, int port, int slots,
-                            const std::string &state = "ready");
+                            const std::string &state = "ready",
+                            const std::string &ip = "127.0.0.1");
 
 /// Reads a file as a whole.
 std::string readFile(const std::string &path);
