--- a/review/standins-2/standins.cc
+++ b/review/standins-2/standins.cc
@@ -24,6 +24,11 @@
 
 constexpr std::size_t ReadSize = 16 << 10;
 constexpr int Backlog = 512;
+/// Ports for the programs, below those that the system gives to connections.
+constexpr int FirstPort = 20'000;
+constexpr int PortCount = 12'000;
+/// Distance of the first ports of processes that start one after another.
+constexpr int PortStep = 37;
 constexpr Milliseconds ReadyTimeout{15'000};
 constexpr Milliseconds ReadyPollInterval{50};
 
@@ -114,15 +119,19 @@
 void sleepFor(Milliseconds time) { std::this_thread::sleep_for(time); }
 
 int freePort() {
-  const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-  sockaddr_in address = loopback(0);
-  socklen_t size = sizeof address;
-  if (::bind(descriptor, reinterpret_cast<sockaddr *>(&address), size) != 0 ||
-      ::getsockname(descriptor, reinterpret_cast<sockaddr *>(&address),
-                    &size) != 0)
-    giveUp("no free port");
-  ::close(descriptor);
-  return ntohs(address.sin_port);
+  static std::atomic<int> next{static_cast<int>(::getpid()) * PortStep};
+  for (int i = 0; i < PortCount; ++i) {
+    const int port = FirstPort + next++ % PortCount;
+    const int descriptor = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = loopback(port);
+    const int code =
+        ::bind(descriptor, reinterpret_cast<const sockaddr *>(&address),
+               sizeof address);
+    ::close(descriptor);
+    if (code == 0)
+      return port;
+  }
+  giveUp("no free port");
 }
 
 std::unique_ptr<Channel> Channel::connect(int port) {
