--- a/review/standins-2/standins.cc
+++ b/review/standins-2/standins.cc
@@ -409,6 +409,16 @@
   return "exit code " + std::to_string(WEXITSTATUS(status));
 }
 
+long Program::peakMemory() const {
+  std::ifstream status("/proc/" + std::to_string(Process) + "/status");
+  std::string line;
+  const std::string name = "VmHWM:";
+  while (Process > 0 && std::getline(status, line))
+    if (line.starts_with(name))
+      return std::atol(line.c_str() + name.size());
+  return 0;
+}
+
 void Program::stop() {
   if (Process <= 0)
     return;
--- a/review/standins-2/standins.h
+++ b/review/standins-2/standins.h
@@ -173,6 +173,8 @@
   void signal(int number) const;
   /// Returns how the process ended by itself; empty while it runs.
   std::string endedBy();
+  /// Returns the largest resident size so far, in KiB; 0 if it has ended.
+  long peakMemory() const;
   /// Kills the process.
   void stop();
 
