Review: cases 7 to 9 stay within the site's doses

Cause: cases 8 and 9 took 1 of 3 and 1 of 4 engines away, while the site's share is 0.17, and case 8's first channel broke without a disruption of the pages. Case 7's lost answers went on without a pause, while the site's last for 4 s.

Done: six engines in cases 8 and 9; in case 8 an engine crashes after the first events; in case 7 the disruption lasts 4 s and comes again 4 s later.

--- a/review/7/case.cc
+++ b/review/7/case.cc
@@ -23,7 +23,9 @@
 /// From what arrives of an answer to the reset.
 constexpr std::chrono::microseconds ResetDelay{100};
 /// The site's `answer_lost`, `reset`: share 0.5 of the servers, x = 0.05 of the
-/// requests that they ran, for 4 s. One comes after the other.
+/// requests that they ran, for 4 s. The next one begins 4 s after its end.
+constexpr Milliseconds LossTime{4'000};
+constexpr Milliseconds LossPeriod{8'000};
 constexpr int ServersPerLostAnswers = 2;
 constexpr int RequestsPerLostAnswer = 20;
 constexpr std::size_t ReadSize = 256 << 10;
@@ -61,6 +63,7 @@
   int Number;
   std::string Id;
   Recorder &Record;
+  const Clock::time_point StartedAt = Clock::now();
   std::atomic<int> Runs{0};
   std::atomic<int> Lost{0};
   Listener Server;
@@ -69,7 +72,9 @@
 /// Returns whether the answer to the request that has just arrived is lost.
 bool PlainServer::isAnswerLost() {
   const int run = ++Runs;
-  return isTroubleOn() && Number % Servers < ServersPerLostAnswers &&
+  const bool isWindow = (Clock::now() - StartedAt) % LossPeriod < LossTime;
+  return isTroubleOn() && isWindow &&
+         Number % Servers < ServersPerLostAnswers &&
          run % RequestsPerLostAnswer == 0;
 }
 
--- a/review/8/case.cc
+++ b/review/8/case.cc
@@ -9,11 +9,12 @@
 namespace drumlanding::review {
 namespace {
 
-constexpr int Engines = 3;
+/// One of them crashes and one is taken away: the site's share is 0.17 each.
+constexpr int Engines = 6;
 /// Each trial is a stream of its own on a fresh deployment.
 constexpr int Trials = 8;
 constexpr int EventsPerStream = 12;
-/// The first engine breaks its answer off after this many events.
+/// The first engine crashes after this many events.
 constexpr int EventsBeforeBreak = 5;
 /// An event holds 4 tokens, which take 25 ms each on a full engine.
 constexpr Milliseconds EventTime{100};
@@ -55,7 +56,7 @@
   /// Copies that have not been used, and the attempts that they belong to.
   std::map<std::string, std::string> Copies;
   int LastCopy = 0;
-  /// The first request that arrives is broken off after some events.
+  /// The engine of the first request crashes after some events.
   bool HasBroken = false;
   Milliseconds FirstToken{0};
   /// Announces that an engine leaves; called when it has got a resumed request.
@@ -88,6 +89,8 @@
   void write(const std::string &line) { State.Record.write(Id + ": " + line); }
 
   int Number;
+  /// It resets each channel from then on.
+  std::atomic<bool> HasCrashed{false};
   std::string Id;
   std::string Ip;
   Shared &State;
@@ -98,7 +101,9 @@
 
 void Engine::serve(Channel &channel) {
   Message request;
-  while (readMessage(channel, request)) {
+  while (!HasCrashed && readMessage(channel, request)) {
+    if (HasCrashed)
+      break;
     const std::string target = request.target();
     if (target == "/drumlanding/report") {
       report(channel);
@@ -115,6 +120,7 @@
       return;
     }
   }
+  channel.reset();
 }
 
 void Engine::report(Channel &channel) {
@@ -238,10 +244,13 @@
     if (!channel.write(size + ("\r\n" + event + "\r\n")))
       return;
   }
-  if (isBroken)
-    channel.close();
-  else
+  if (!isBroken) {
     channel.write("0\r\n\r\n");
+    return;
+  }
+  HasCrashed = true;
+  write("crashes");
+  channel.reset();
 }
 
 /// A client that follows a broken channel.
--- a/review/9/case.cc
+++ b/review/9/case.cc
@@ -12,6 +12,8 @@
 using Clock = std::chrono::steady_clock;
 
 constexpr int Requests = 20;
+/// One of them is taken away: the site's share is 0.17.
+constexpr int EngineCount = 6;
 /// `timeoutMs` of the route, after the operator has changed it.
 constexpr Milliseconds RouteTimeout{6'000};
 /// The rule: no final answer this long after the timeout.
@@ -342,7 +344,7 @@
   // Engines that are added take no part in the requests before, but could
   // continue them.
   sleepFor(NoticeDelay / 2);
-  for (int n = 1; n < 4; ++n)
+  for (int n = 1; n < EngineCount; ++n)
     addEngine();
   sleepFor(NoticeDelay / 2);
   if (Engines.front()->runs() != Requests)
