gateway: A migrated stream keeps the position that its caller named

Cause: the request to the destination names the last event that arrived in this request, and 0 when there was none; the encoder replaces the caller's own header by it. The engines' record shows Last-Event-Id 5 at the source and 0 at the destination. Ruled out: events that the gateway dropped (the source had sent none), a destination that ignores the position (it continues at the one it gets). The same 0 skips the first event of servers that number from 0.

ResumePoint::LastEventId is now unset until an event has arrived. The encoder then leaves the caller's header as it is, and adds none if there is none.

EarlyMigrationTest, failing before in three of three runs: AResumedStreamContinuesWhereItsCallerStopped (29 events, 24 expected) and AStreamBeginsWithItsFirstEvent (29 events, 30 expected).

--- a/include/drumlanding/gateway/protocol-codec.h
+++ b/include/drumlanding/gateway/protocol-codec.h
@@ -48,13 +48,14 @@
 };
 
 /// Where a stream resumes: a copy of the generation's KV cache, and the last
-/// event that the client has received.
+/// event that the gateway has received for this request. Unset when there is
+/// none: the position that the client itself has named then applies.
 struct ResumePoint {
   /// The server that the generation ran on before, and the handle that this
   /// server gave the copy.
   base::Endpoint Address;
   std::string Handle;
-  std::int64_t LastEventId = 0;
+  std::optional<std::int64_t> LastEventId;
 };
 
 /// What the gateway sends to a server in addition to the client's request.
--- a/src/gateway/migrator.cc
+++ b/src/gateway/migrator.cc
@@ -269,7 +269,8 @@
   // When only the final copy failed, the source has stopped the run and kept
   // its KV cache: the run resumes there.
   const bool isComplete = response.Code == Outcome::Copied;
-  run->ResumeFrom = ResumePoint{source.Listed.Address, response.Handle, 0};
+  run->ResumeFrom =
+      ResumePoint{source.Listed.Address, response.Handle, std::nullopt};
   run->ResumeServer = isComplete ? destination.Listed.Id : source.Listed.Id;
   // Released only now: the next run's copy would delay this final, short one.
   releaseTurn(run, run->ResumeServer);
--- a/src/gateway/stream-forwarder.cc
+++ b/src/gateway/stream-forwarder.cc
@@ -15,6 +15,8 @@
 using base::Verdict;
 
 constexpr int HttpOk = 200;
+/// Logged as the last event of a stream that has received none.
+constexpr std::int64_t NoEvent = -1;
 
 /// Forwards one stream: opens it at a server, relays its events, and resumes it
 /// after a migration.
@@ -319,7 +321,7 @@
   if (!F.Connection || F.isAborted())
     co_return false;
   Run->Events.discardPartialEvent();
-  from.LastEventId = Run->Events.lastId().value_or(0);
+  from.LastEventId = Run->Events.lastId();
   if (server.Listed.Id != Run->CountedServer)
     countTowardsLimit(Ctx, server.Listed.Id);
   Run->CountedServer.clear();
@@ -331,7 +333,7 @@
                 {{"request", F.Request.AttemptId},
                  {"server", server.Listed.Id},
                  {"status", head ? head->Status : 0},
-                 {"last_event", from.LastEventId},
+                 {"last_event", from.LastEventId.value_or(NoEvent)},
                  {"ms_since_event", base::toMs(Ctx.now() - LastEventAt)}});
   if (!isAccepted)
     co_return false;
--- a/test/forwarding-test.cc
+++ b/test/forwarding-test.cc
@@ -108,6 +108,8 @@
   MigrationFault Fault = MigrationFault::None;
   /// Streams have neither a length nor chunks and end with the connection.
   bool IsUndelimited = false;
+  /// New streams have a first token, but send no event until they are stopped.
+  bool IsBeforeFirstEvent = false;
 
 private:
   // Needed because GCC 12 destroys temporaries of braced initializer lists in a
@@ -159,6 +161,8 @@
     int next = last.empty() ? 0 : std::stoi(last) + 1;
     if (isContinued)
       IsStopped = false;
+    while (IsBeforeFirstEvent && !isContinued && !IsStopped)
+      co_await sleepFor(PollInterval);
     for (int sent = 0; next < Events; ++sent) {
       if (IsStopped || IsDead)
         co_return;
@@ -863,6 +867,62 @@
   expectEveryEventOnce(GetParam(), true);
 }
 
+/// Migrates a stream whose source has sent no event yet.
+class EarlyMigrationTest : public ForwardingTest {
+protected:
+  /// Sends `r` to an engine that then leaves; returns what the caller receives.
+  ReceivedStream migrate(http::Request r) {
+    TestServer &source = addServer("e1", "llm");
+    source.IsBeforeFirstEvent = true;
+    startGateway();
+    ReceivedStream received;
+    runTest([&]() -> asio::awaitable<void> {
+      co_await waitUntilReady();
+      asio::co_spawn(Io, leave(source), asio::detached);
+      received.End =
+          co_await http::stream(ListenAddress, std::move(r), TestLimit,
+                                [&](const http::ServerEvent &event) {
+                                  received.Ids.push_back(event.Id);
+                                  return true;
+                                });
+    });
+    return received;
+  }
+
+  /// Adds the destination once the source has got the request.
+  asio::awaitable<void> leave(TestServer &source) {
+    co_await waitUntil([&] { return !source.Requests.empty(); });
+    Destination = &addServer("e2", "llm");
+    Changes.push_back({"e2", Destination->listed()});
+    Changes.push_back({"e1", source.listed(ServerState::Leaving)});
+  }
+
+  TestServer *Destination = nullptr;
+};
+
+/// Guards against a stream that its caller has resumed, and that starts again
+/// from its first event when it is migrated (issue 44, ORDER).
+TEST_F(EarlyMigrationTest, AResumedStreamContinuesWhereItsCallerStopped) {
+  http::Request r = request("POST", "/stream/x");
+  r.Headers.push_back({"Last-Event-Id", "5"});
+  const ReceivedStream received = migrate(std::move(r));
+  EXPECT_TRUE(received.End.IsComplete);
+  ASSERT_EQ(received.Ids.size(), 24U);
+  for (std::size_t i = 0; i < received.Ids.size(); ++i)
+    EXPECT_EQ(received.Ids[i], std::to_string(i + 6));
+  ASSERT_EQ(Destination->Requests.size(), 1U);
+  EXPECT_EQ(Destination->Requests[0].header("Last-Event-Id"), "5");
+}
+
+/// Guards against the loss of a first event whose id is 0, when a stream is
+/// migrated before it (issue 44, ORDER).
+TEST_F(EarlyMigrationTest, AStreamBeginsWithItsFirstEvent) {
+  const ReceivedStream received = migrate(request("POST", "/stream/x"));
+  EXPECT_TRUE(received.End.IsComplete);
+  EXPECT_EQ(received.Ids.size(), 30U);
+  expectInOrder(received);
+}
+
 /// Migrates a stream to a destination whose limit is known.
 class LimitedMigrationTest : public ForwardingTest {
 protected:
--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -142,6 +142,28 @@
   EXPECT_EQ(headerValues(out, "Priority"), Values{"2"});
 }
 
+/// Guards against a position that replaces the one that the caller has named,
+/// though no event has come after it (issue 44, ORDER).
+TEST(ProtocolCodec, WithoutEventsTheCallersPositionIsKept) {
+  const gateway::ProtocolCodec codec = makeProtocolCodec();
+  const auto positions = [&](http::Request request) {
+    const gateway::CallerRequest r = codec.DecodeRequest(std::move(request));
+    gateway::RequestMetadata order;
+    order.ResumeFrom =
+        gateway::ResumePoint{{"10.0.0.7", 80}, "h1", std::nullopt};
+    const http::Request out = codec.EncodeServerRequest(r, order);
+    EXPECT_EQ(headerValues(out, "Kv-From").size(), 1U);
+    std::vector<std::string> values;
+    for (const std::string_view value : headerValues(out, "Last-Event-Id"))
+      values.emplace_back(value);
+    return values;
+  };
+  http::Request resumed = sampleRequest();
+  resumed.Headers.push_back({"Last-Event-Id", "5"});
+  EXPECT_EQ(positions(std::move(resumed)), std::vector<std::string>{"5"});
+  EXPECT_TRUE(positions(sampleRequest()).empty());
+}
+
 TEST(ProtocolCodec, ClassifiesServerResponses) {
   const gateway::ProtocolCodec codec = makeProtocolCodec();
   const gateway::CallerRequest r = codec.DecodeRequest(sampleRequest());
