http: A reset that a send has taken is no end of a body

Servers had answered long requests early, without a length, and had reset the connection.

Cause: the kernel reports a reset to one call. When the send gets it, the read sees a regular end. The check for a failed send read a flag that the send's completion sets, and that completion may still be queued behind the read's. Output added in a trial copy: the read's end with the request unsent, TCP state "closed", and the send's completion with "Connection reset by peer" after the response. Ruled out: that the send never completes, and that the reset arrives as a regular end (these are read in the state "close wait").

At the end of a body without framing, the connection now waits for the send if both directions are closed, and takes its error. EPIPE means that the regular end came before the reset: such a body is whole, where it counted as truncated.

--- a/src/http/connection.cc
+++ b/src/http/connection.cc
@@ -6,6 +6,7 @@
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
@@ -65,7 +66,9 @@
 class TcpConnection final : public Connection {
 public:
   TcpConnection(base::Endpoint to, beast::tcp_stream stream)
-      : Peer(std::move(to)), Stream(std::move(stream)) {}
+      : Peer(std::move(to)), Stream(std::move(stream)),
+        SendEnded(Stream.get_executor(),
+                  asio::steady_timer::time_point::max()) {}
 
   using Connection::send;
   void send(const Request &head, SharedBody body) override {
@@ -74,9 +77,14 @@
         std::make_shared<std::string>(serialiseHead(head, body->size()));
     const std::array<asio::const_buffer, 2> buffers{asio::buffer(*text),
                                                     asio::buffer(*body)};
+    IsSending = true;
     asio::async_write(Stream.socket(), buffers,
                       [self = shared_from_this(), this, text,
-                       body](error_code ec, std::size_t) { WriteError = ec; });
+                       body](error_code ec, std::size_t) {
+                        WriteError = ec;
+                        IsSending = false;
+                        SendEnded.cancel();
+                      });
   }
 
   asio::awaitable<Result<ResponseHead>> readHead() override {
@@ -114,10 +122,11 @@
         co_return toError(Peer, ec);
       // Return the data received before an error; the next read reports it.
     }
-    // The failed write has taken the socket's error, so that a connection that
-    // was reset reads like one that was closed.
-    if (chunk.empty() && Parser->need_eof() && WriteError)
-      co_return toError(Peer, WriteError);
+    if (chunk.empty() && Parser->need_eof()) {
+      const error_code failure = co_await findFailure();
+      if (failure)
+        co_return toError(Peer, failure);
+    }
     co_return chunk;
   }
 
@@ -129,11 +138,29 @@
 private:
   using BodyParser = beast::http::response_parser<beast::http::buffer_body>;
 
+  /// Returns why a body that has ended with its connection is truncated; no
+  /// error if it is complete. A socket reports a reset or a timeout only once:
+  /// after a send has got it, reads see a regular end.
+  asio::awaitable<error_code> findFailure() {
+    // The send has failed too, but its completion may still be queued.
+    while (IsSending && isFullyClosed(Stream.socket())) {
+      error_code ec;
+      co_await SendEnded.async_wait(asio::redirect_error(use_awaitable, ec));
+    }
+    // A reset after the server's regular end fails the send with EPIPE.
+    if (WriteError == asio::error::broken_pipe)
+      co_return error_code();
+    co_return WriteError;
+  }
+
   base::Endpoint Peer;
   beast::tcp_stream Stream;
   beast::flat_buffer Buffer{MaxUnparsedBytes};
   std::optional<BodyParser> Parser;
   bool IsHeadRequest = false;
+  bool IsSending = false;
+  /// Cancelled when the request has been sent, or could not be sent.
+  asio::steady_timer SendEnded;
   /// Why the request could not be sent; a server may respond all the same.
   error_code WriteError;
 };
--- a/src/http/socket-options.cc
+++ b/src/http/socket-options.cc
@@ -30,4 +30,12 @@
   setTcpOption(fd, TCP_KEEPCNT, KeepAliveProbes);
 }
 
+bool isFullyClosed(boost::asio::ip::tcp::socket &socket) {
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  const int result =
+      ::getsockopt(socket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size);
+  return result != 0 || info.tcpi_state == TCP_CLOSE;
+}
+
 } // namespace drumlanding::http
--- a/src/http/socket-options.h
+++ b/src/http/socket-options.h
@@ -1,4 +1,4 @@
-/// Socket options of the HTTP server and of Connection.
+/// Socket options and the TCP state of the HTTP server and of Connection.
 ///
 ///   setSocketOptions(socket);
 #pragma once
@@ -17,4 +17,8 @@
 /// Disables Nagle's algorithm and closes connections to unreachable hosts.
 void setSocketOptions(boost::asio::ip::tcp::socket &socket);
 
+/// Returns whether a connection is closed in both directions: after a reset or
+/// a timeout, but not after the peer's regular end alone.
+bool isFullyClosed(boost::asio::ip::tcp::socket &socket);
+
 } // namespace drumlanding::http
--- a/test/truncated-response-test.cc
+++ b/test/truncated-response-test.cc
@@ -13,9 +13,11 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/strand.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <gtest/gtest.h>
+#include <thread>
 
 namespace drumlanding::gateway {
 namespace {
@@ -329,5 +331,101 @@
   });
 }
 
+/// Resets each connection some time after a part of a body without framing.
+/// Runs on a thread of its own, so that a reset can arrive at any step of the
+/// client.
+class ResettingServer {
+public:
+  /// If `endsBody`, the body ends regularly before the connection is reset.
+  ResettingServer(int requests, bool endsBody)
+      : Address(freeEndpoint()),
+        Acceptor(Io, {asio::ip::make_address(Address.Address), Address.Port}),
+        EndsBody(endsBody), Thread([this, requests] { serve(requests); }) {}
+  ~ResettingServer() { Thread.join(); }
+
+  base::Endpoint Address;
+
+private:
+  void serve(int requests) {
+    constexpr std::chrono::microseconds Step{20};
+    constexpr int Steps = 20;
+    const std::string text = headOf("1", Framing::None) + std::string(Body);
+    for (int i = 0; i < requests; ++i) {
+      tcp::socket socket(Io);
+      Acceptor.accept(socket);
+      std::string request;
+      asio::read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n");
+      asio::write(socket, asio::buffer(text));
+      if (EndsBody)
+        socket.shutdown(tcp::socket::shutdown_send);
+      std::this_thread::sleep_for(i % Steps * Step);
+      socket.set_option(tcp::socket::linger(true, 0));
+      socket.close();
+    }
+  }
+
+  asio::io_context Io;
+  tcp::acceptor Acceptor;
+  bool EndsBody;
+  std::thread Thread;
+};
+
+class ResetBesideASendTest : public TruncatedResponseTest {
+protected:
+  static constexpr int Requests = 400;
+
+  /// Sends long requests; returns how many bodies look whole.
+  int countWholeBodies(bool endsBody) {
+    constexpr std::size_t RequestBytes = 4 << 20;
+    ResettingServer server(Requests, endsBody);
+    const auto body =
+        std::make_shared<const std::string>(std::string(RequestBytes, 'x'));
+    int whole = 0;
+    runTest([&]() -> asio::awaitable<void> {
+      for (int i = 0; i < Requests; ++i) {
+        const bool isWhole = co_await sendRequest(server.Address, body);
+        whole += isWhole ? 1 : 0;
+      }
+    });
+    return whole;
+  }
+
+private:
+  asio::awaitable<bool> sendRequest(base::Endpoint to, http::SharedBody body) {
+    auto opened = co_await http::Connection::open(to, seconds(1));
+    if (!ok(opened))
+      co_return false;
+    const auto connection = value(opened);
+    connection->send(nextRequest("/"), body);
+    const auto head = co_await connection->readHead();
+    std::string received;
+    while (ok(head)) {
+      const auto piece = co_await connection->read();
+      if (!ok(piece))
+        break;
+      received += value(piece);
+      if (!value(piece).empty())
+        continue;
+      connection->close();
+      co_return received == Body;
+    }
+    connection->close();
+    co_return false;
+  }
+};
+
+/// Guards against a body without framing that is reset while the request is
+/// still being sent, and is taken for whole because the send has taken the
+/// socket's error and its completion is still queued (issue 44, MIXED).
+TEST_F(ResetBesideASendTest, ABodyThatIsResetIsNotWhole) {
+  EXPECT_EQ(countWholeBodies(false), 0) << "of " << Requests;
+}
+
+/// Guards against the opposite: a body that has ended regularly stays whole
+/// when the rest of the request is refused by a reset (issue 44).
+TEST_F(ResetBesideASendTest, ABodyThatHasEndedIsWhole) {
+  EXPECT_EQ(countWholeBodies(true), Requests);
+}
+
 } // namespace
 } // namespace drumlanding::gateway
