gateway: The deadline and a lost caller end the wait for a migration

Cause: the deadline timer, the handler of a disconnected caller and the quarantine set a flag and closed the connection to the server. A stream whose connection has ended waits for its migration, which calls a silent engine for up to 12 s, and looks at the flags only when the migration ends. Ruled out: a deadline timer that does not run (other requests are answered at their timeout), an end that does not reach the caller.

ForwardedRequest::abort() is now the only way to set these flags. It records the reason, closes the connection and wakes waitUntil(), the one wait for anything but a connection; a migration that ends calls notify().

--- a/src/gateway/forwarded-request.cc
+++ b/src/gateway/forwarded-request.cc
@@ -4,6 +4,8 @@
 #include "suspect-requests.h"
 
 #include <algorithm>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <spdlog/fmt/fmt.h>
 #include <spdlog/fmt/ranges.h>
 
@@ -85,11 +87,31 @@
         const ForwardedRequestPointer f = self.lock();
         if (ec || !f)
           return;
-        f->IsExpired = true;
-        f->closeConnection();
+        f->abort(AbortReason::Expired);
       });
 }
 
+bool ForwardedRequest::isAborted(AbortReason reason) const {
+  return std::find(AbortReasons.begin(), AbortReasons.end(), reason) !=
+         AbortReasons.end();
+}
+
+void ForwardedRequest::abort(AbortReason reason) {
+  if (!isAborted(reason))
+    AbortReasons.push_back(reason);
+  closeConnection();
+  notify();
+}
+
+asio::awaitable<void> ForwardedRequest::waitUntil(std::function<bool()> holds) {
+  while (!isAborted() && !holds()) {
+    boost::system::error_code ec;
+    co_await Notified.async_wait(asio::redirect_error(asio::use_awaitable, ec));
+  }
+}
+
+void ForwardedRequest::notify() { Notified.cancel(); }
+
 asio::awaitable<std::shared_ptr<http::Connection>>
 connectTo(ForwardedRequest &f, Server server) {
   const milliseconds limit =
@@ -141,11 +163,11 @@
 namespace {
 
 std::string_view connectionEnd(const ForwardedRequest &f) {
-  if (f.HasCallerDisconnected)
+  if (f.hasCallerDisconnected())
     return "caller left";
-  if (f.IsAbandoned)
+  if (f.isAbandoned())
     return "abandoned";
-  if (f.IsExpired)
+  if (f.isExpired())
     return "expired";
   if (f.ReadError == base::ErrorCode::Closed)
     return "closed by the server";
@@ -337,7 +359,7 @@
 }
 
 Reason lossReason(ForwardedRequest &f, Reason loss) {
-  if (f.IsExpired)
+  if (f.isExpired())
     return Reason::Expired;
   if (f.ReadError == base::ErrorCode::TooLarge)
     return Reason::AnswerTooLarge;
@@ -372,7 +394,7 @@
 
 void recordOutcome(ForwardedRequest &f, const std::string &server,
                    const Attempt &attempt) {
-  if (f.HasCallerDisconnected || f.IsAbandoned)
+  if (f.hasCallerDisconnected() || f.isAbandoned())
     return;
   ServerOutcome outcome = ServerOutcome::Served;
   switch (attempt.End) {
--- a/src/gateway/forwarded-request.h
+++ b/src/gateway/forwarded-request.h
@@ -11,6 +11,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -18,10 +19,19 @@
 
 namespace drumlanding::gateway {
 
+/// Why the gateway no longer works on a request.
+enum class AbortReason {
+  Expired,
+  CallerDisconnected,
+  /// A part of the prompt was quarantined.
+  Abandoned,
+};
+
 /// A caller's request and the state of its forwarding.
 struct ForwardedRequest : std::enable_shared_from_this<ForwardedRequest> {
   ForwardedRequest(GatewayContext &ctx, CallerRequest request)
-      : Ctx(ctx), Request(std::move(request)), DeadlineTimer(ctx.Io) {}
+      : Ctx(ctx), Request(std::move(request)), DeadlineTimer(ctx.Io),
+        Notified(ctx.Io, asio::steady_timer::time_point::max()) {}
 
   GatewayContext &Ctx;
   CallerRequest Request;
@@ -49,8 +59,6 @@
   /// another server answered.
   int Arrivals = 0;
   bool MayHaveRun = false;
-  bool IsExpired = false;
-  bool HasCallerDisconnected = false;
   /// Why the last read from a server failed.
   std::optional<base::ErrorCode> ReadError;
   std::optional<RequestFingerprint> Fingerprint;
@@ -64,16 +72,16 @@
   bool IsResponseDelimited = true;
   /// Streams: when the first event arrived.
   std::optional<base::Instant> BeganAt;
-  /// The gateway has closed the connection to the server, since a part of the
-  /// prompt was quarantined.
-  bool IsAbandoned = false;
 
   base::milliseconds timeRemaining() const {
     return base::milliseconds(base::toMs(Deadline - Ctx.now()));
   }
-  bool isAborted() const {
-    return IsExpired || HasCallerDisconnected || IsAbandoned;
+  bool isExpired() const { return isAborted(AbortReason::Expired); }
+  bool hasCallerDisconnected() const {
+    return isAborted(AbortReason::CallerDisconnected);
   }
+  bool isAbandoned() const { return isAborted(AbortReason::Abandoned); }
+  bool isAborted() const { return !AbortReasons.empty(); }
   /// Computed when it is first needed, which few requests do.
   const RequestFingerprint &fingerprint();
   /// Returns the organisation's name; empty if it is unknown.
@@ -89,6 +97,20 @@
   /// Closes the current connection, which ends pending reads from the server.
   void closeConnection();
   void startDeadlineTimer();
+  /// Ends the work on the request: pending reads from the server, and
+  /// waitUntil(). May be called again for another reason.
+  void abort(AbortReason reason);
+  /// Waits until the condition holds or the request is aborted. notify() checks
+  /// the condition again.
+  asio::awaitable<void> waitUntil(std::function<bool()> holds);
+  void notify();
+
+private:
+  bool isAborted(AbortReason reason) const;
+
+  std::vector<AbortReason> AbortReasons;
+  /// Never expires; cancelled by notify().
+  asio::steady_timer Notified;
 };
 
 using ForwardedRequestPointer = std::shared_ptr<ForwardedRequest>;
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -49,10 +49,8 @@
   std::weak_ptr<ForwardedRequest> weak = f;
   x.onDisconnect([weak] {
     const auto forwarding = weak.lock();
-    if (!forwarding)
-      return;
-    forwarding->HasCallerDisconnected = true;
-    forwarding->closeConnection();
+    if (forwarding)
+      forwarding->abort(AbortReason::CallerDisconnected);
   });
   Ctx.Budget.recordFirstSend(f->ReceivedAt, f->ChosenService->Name);
   if (f->MatchedRoute->Kind == RequestKind::Stream)
@@ -136,7 +134,7 @@
 asio::awaitable<std::optional<Server>>
 Forwarder::nextServer(ForwardedRequest &f, http::Exchange &x) {
   const Turn turn = co_await waitForTurn(f);
-  if (f.HasCallerDisconnected) {
+  if (f.hasCallerDisconnected()) {
     logRequestEnd(f, 0, "caller left");
     co_return std::nullopt;
   }
@@ -186,7 +184,7 @@
       f.MayHaveRun = true;
     if (step == Step::TryAnother)
       continue;
-    if (f.HasCallerDisconnected) {
+    if (f.hasCallerDisconnected()) {
       logRequestEnd(f, 0, "caller left");
       co_return;
     }
--- a/src/gateway/migrator.cc
+++ b/src/gateway/migrator.cc
@@ -74,7 +74,6 @@
 
 void Migrator::remove(const StreamRunPointer &run) {
   run->HasEnded = true;
-  run->MigrationEnded.cancel();
   Runs.remove(run);
 }
 
@@ -102,8 +101,7 @@
     ForwardedRequest &f = run->F;
     if (f.PartFingerprints.empty() || hasSurvived(f) || !isQuarantined(f))
       continue;
-    f.IsAbandoned = true;
-    f.closeConnection();
+    f.abort(AbortReason::Abandoned);
   }
 }
 
@@ -309,7 +307,7 @@
   run->IsMigrating = false;
   if (run->isRunningOn(sourceId))
     announceCopy(run, "");
-  run->MigrationEnded.cancel();
+  run->F.notify();
   // The run may have resumed on a server that started leaving in the meantime.
   if (!run->isRunningOn(sourceId))
     migrateIfLeaving(run);
--- a/src/gateway/migrator.h
+++ b/src/gateway/migrator.h
@@ -16,9 +16,7 @@
 /// A running generation of a caller and the state of its migration.
 struct StreamRun {
   explicit StreamRun(ForwardedRequestPointer f)
-      : RequestRef(std::move(f)), F(*RequestRef), MigrationEnded(F.Ctx.Io) {
-    MigrationEnded.expires_at(base::Instant::max());
-  }
+      : RequestRef(std::move(f)), F(*RequestRef) {}
 
   /// Keeps the request alive, since a migration may outlive its stream.
   ForwardedRequestPointer RequestRef;
@@ -39,8 +37,6 @@
   /// The destination whose limit already includes the resumed request.
   std::string CountedServer;
   base::Instant StoppedAt{};
-  /// Cancelled when a migration ends.
-  asio::steady_timer MigrationEnded;
 
   /// Returns whether the run has not ended and is, as far as is known, on that
   /// server.
--- a/src/gateway/stream-forwarder.cc
+++ b/src/gateway/stream-forwarder.cc
@@ -5,9 +5,6 @@
 
 #include "drumlanding/base/hash.h"
 
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/use_awaitable.hpp>
-
 namespace drumlanding::gateway {
 namespace {
 
@@ -127,7 +124,7 @@
 asio::awaitable<bool> StreamForwarder::openStream() {
   for (;;) {
     const Turn turn = co_await waitForTurn(F);
-    if (F.HasCallerDisconnected) {
+    if (F.hasCallerDisconnected()) {
       logStreamEnd("caller left");
       co_return false;
     }
@@ -189,7 +186,7 @@
     if (step == Step::TryAnother)
       continue;
     logStreamEnd(attempt.Cause);
-    if (F.HasCallerDisconnected)
+    if (F.hasCallerDisconnected())
       co_return false;
     http::Response response;
     if (step == Step::Deliver)
@@ -227,11 +224,7 @@
 }
 
 asio::awaitable<void> StreamForwarder::waitForMigration() {
-  while (Run->IsMigrating && !F.isAborted()) {
-    boost::system::error_code ec;
-    co_await Run->MigrationEnded.async_wait(
-        asio::redirect_error(asio::use_awaitable, ec));
-  }
+  co_await F.waitUntil([this] { return !Run->IsMigrating; });
 }
 
 /// Returns whether a body that has ended is the whole stream. One without a
@@ -282,7 +275,7 @@
     if (const Server *server = Ctx.Servers.find(Run->Server))
       recordUnanswered(F, *server);
     logStreamEnd("broken off");
-    if (IsHeadSent || F.HasCallerDisconnected)
+    if (IsHeadSent || F.hasCallerDisconnected())
       co_return;
     http::Response response =
         makeRefusal(F, Verdict::MayHaveRun, lossReason(F, Reason::EngineLost));
--- a/test/forwarding-test.cc
+++ b/test/forwarding-test.cc
@@ -923,6 +923,72 @@
   expectInOrder(received);
 }
 
+/// Streams whose source ends their connection while it does not respond to the
+/// request for a copy.
+class HungMigrationTest : public ForwardingTest {
+protected:
+  TestServer &startWithSource() {
+    TestServer &source = addServer("e1", "llm");
+    source.Fault = MigrationFault::CopyHangs;
+    source.Events = MigrationEvents;
+    startGateway();
+    return source;
+  }
+
+  /// Reads a stream whose source fails after event 3.
+  asio::awaitable<ReceivedStream> readFailingStream(TestServer &source,
+                                                    milliseconds idleTimeout) {
+    ReceivedStream received;
+    received.End = co_await http::stream(
+        ListenAddress, request("POST", "/stream/x"), idleTimeout,
+        [&](const http::ServerEvent &event) {
+          if (event.Id == "3")
+            asio::co_spawn(Io, fail(source), asio::detached);
+          received.Ids.push_back(event.Id);
+          return true;
+        });
+    co_return received;
+  }
+
+private:
+  asio::awaitable<void> fail(TestServer &source) {
+    // The second is tried when the first copy has timed out.
+    for (const char *id : {"e2", "e3"})
+      Changes.push_back({id, addServer(id, "llm").listed()});
+    Changes.push_back({"e1", source.listed(ServerState::Leaving)});
+    co_await waitUntil([&] { return source.Copies == 1; });
+    source.IsDead = true;
+  }
+};
+
+/// Guards against streams that stay open past the timeout of their route while
+/// a migration hangs (issue 44, CONFIG).
+TEST_F(HungMigrationTest, AStreamEndsAtItsTimeout) {
+  GatewayConfig.Routes[2].Timeout = milliseconds(700);
+  TestServer &source = startWithSource();
+  runTest([&]() -> asio::awaitable<void> {
+    co_await waitUntilReady();
+    const ReceivedStream r = co_await readFailingStream(source, TestLimit);
+    EXPECT_TRUE(source.IsDead);
+    EXPECT_FALSE(r.End.IsComplete);
+    EXPECT_EQ(source.Copies, 1) << "the copy should still hang";
+    EXPECT_EQ(Gateway->context().OpenRequests, 0);
+  });
+}
+
+/// Guards against requests that stay open after their caller has left, while a
+/// migration hangs (issue 44).
+TEST_F(HungMigrationTest, AStreamEndsWhenItsCallerDisconnects) {
+  TestServer &source = startWithSource();
+  runTest([&]() -> asio::awaitable<void> {
+    co_await waitUntilReady();
+    co_await readFailingStream(source, milliseconds(300));
+    EXPECT_TRUE(source.IsDead);
+    co_await waitUntil([&] { return Gateway->context().OpenRequests == 0; });
+    EXPECT_EQ(source.Copies, 1) << "the copy should still hang";
+  });
+}
+
 /// Migrates a stream to a destination whose limit is known.
 class LimitedMigrationTest : public ForwardingTest {
 protected:
