Tests: a server that sends given bytes, in a header

The server and the gateway of truncated-response-test move to test/raw-server.h, for a test of malformed responses.

--- a/test/truncated-response-test.cc
+++ b/test/truncated-response-test.cc
@@ -1,36 +1,19 @@
 // Servers stop at each byte of a response's head, or of its body, and close or
 // reset the connection. Nobody may take what they sent for a whole response.
-#include "fixed-store.h"
-#include "free-endpoint.h"
-#include "platform/protocol-codec.h"
-#include "shell.h"
+#include "raw-server.h"
 
-#include "drumlanding/daemon/sleep.h"
 #include "drumlanding/http/connection.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/read_until.hpp>
-#include <boost/asio/redirect_error.hpp>
-#include <boost/asio/strand.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
-#include <gtest/gtest.h>
 #include <thread>
 
 namespace drumlanding::gateway {
 namespace {
 
-using base::milliseconds;
 using base::seconds;
-using boost::system::error_code;
-using daemon::sleepFor;
 using test::freeEndpoint;
 using tcp = asio::ip::tcp;
 
-constexpr seconds TestLimit{60};
-constexpr milliseconds PollInterval{2};
 constexpr std::string_view Body = "id: 0\ndata: a\n\nid: 1\ndata: b\n\n";
 
 enum class Framing { Length, Chunks, None };
@@ -74,123 +57,16 @@
   return size.data() + std::string(Body) + "\r\n0\r\n\r\n";
 }
 
-/// Sends the first bytes of a response to each request.
-class TruncatingServer {
-public:
-  explicit TruncatingServer(asio::io_context &io)
-      : Address(freeEndpoint()),
-        Acceptor(io, {asio::ip::make_address(Address.Address), Address.Port}) {
-    asio::co_spawn(io, accept(), asio::detached);
-  }
-
-  base::Endpoint Address;
-  TruncatedResponse Next;
-  int Requests = 0;
-
-private:
-  asio::awaitable<void> accept() {
-    for (;;) {
-      tcp::socket socket(Acceptor.get_executor());
-      error_code ec;
-      co_await Acceptor.async_accept(
-          socket, asio::redirect_error(asio::use_awaitable, ec));
-      if (ec)
-        co_return;
-      asio::co_spawn(Acceptor.get_executor(), serve(std::move(socket)),
-                     asio::detached);
-    }
-  }
-
-  asio::awaitable<void> serve(tcp::socket socket) {
-    constexpr std::string_view Name = "X-Attempt-Id: ";
-    std::string request;
-    error_code ec;
-    co_await asio::async_read_until(
-        socket, asio::dynamic_buffer(request), "\r\n\r\n",
-        asio::redirect_error(asio::use_awaitable, ec));
-    const auto at = request.find(Name);
-    // The gateway's own questions about the server's state are not answered.
-    if (ec || at == std::string::npos)
-      co_return;
-    ++Requests;
-    const std::string attempt = request.substr(
-        at + Name.size(), request.find("\r\n", at) - at - Name.size());
-    std::string text =
-        headOf(attempt, Next.BodyFraming) + bodyOf(Next.BodyFraming);
-    text.resize(std::min(text.size(), Next.SentBytes));
-    co_await asio::async_write(socket, asio::buffer(text),
-                               asio::redirect_error(asio::use_awaitable, ec));
-    if (Next.ConnectionEnding == Ending::Reset)
-      socket.set_option(tcp::socket::linger(true, 0), ec);
-    // The destructor would ignore the option.
-    socket.close(ec);
-  }
-
-  tcp::acceptor Acceptor;
-};
+std::string textOf(const TruncatedResponse &response,
+                   std::string_view attempt) {
+  std::string text =
+      headOf(attempt, response.BodyFraming) + bodyOf(response.BodyFraming);
+  text.resize(std::min(text.size(), response.SentBytes));
+  return text;
+}
 
-class TruncatedResponseTest : public testing::Test {
+class TruncatedResponseTest : public test::RawServerTest {
 protected:
-  StoreReader storeReader() {
-    const auto listed = [](std::string service, base::Endpoint address) {
-      ListedServer server;
-      server.Id = "s-" + service;
-      server.Service = std::move(service);
-      server.Address = std::move(address);
-      server.Zone = "a";
-      return server;
-    };
-    return test::makeFixedStore(makeConfig(), {listed("shop", Server.Address),
-                                               listed("llm", Engine.Address)});
-  }
-
-  static Config makeConfig() {
-    Config config;
-    config.Version = 1;
-    const auto addRoute = [&](std::string prefix, RequestKind kind,
-                              std::string service) {
-      Route route;
-      route.Name = prefix;
-      route.Host = "a.example";
-      route.PathPrefix = std::move(prefix);
-      route.Kind = kind;
-      route.Services = {{std::move(service), 1}};
-      config.Routes.push_back(std::move(route));
-    };
-    addRoute("/once/", RequestKind::NonIdempotent, "shop");
-    addRoute("/often/", RequestKind::Idempotent, "shop");
-    addRoute("/stream/", RequestKind::Stream, "llm");
-    config.Services = {{"shop", std::nullopt}, {"llm", EngineTraits()}};
-    return config;
-  }
-
-  void startGateway() {
-    GatewaySettings settings;
-    settings.Name = "gateway";
-    settings.Zone = "a";
-    settings.Listen = freeEndpoint();
-    settings.ReadyListen = freeEndpoint();
-    settings.ControlListen = freeEndpoint();
-    auto shell = Shell::start(Io, Clock, settings,
-                              platform::makeProtocolCodec(), storeReader());
-    ASSERT_TRUE(ok(shell)) << base::describe(error(shell));
-    Gateway = std::move(value(shell));
-  }
-
-  template <typename Body> void runTest(Body body) {
-    test::runTest(Io, TestLimit, std::move(body));
-  }
-
-  /// Returns a request that no other has in common with, so that no request is
-  /// suspected because of another.
-  http::Request nextRequest(const std::string &prefix) {
-    const std::string number = std::to_string(++LastAttempt);
-    return {"POST",
-            prefix + number,
-            {{"Host", "a.example"}, {"X-Attempt-Id", number}},
-            {}};
-  }
-
   /// Runs `check` for each response that ends before `end(framing)` bytes.
   template <typename Check>
   asio::awaitable<void>
@@ -199,8 +75,12 @@
       for (const Ending ending : Endings)
         for (std::size_t n = 0; n < end(framing); ++n) {
           const TruncatedResponse response{framing, ending, n};
-          Server.Next = response;
-          Engine.Next = response;
+          for (test::RawServer *server : {&Server, &Engine}) {
+            server->Respond = [response](std::string_view attempt) {
+              return textOf(response, attempt);
+            };
+            server->IsReset = response.ConnectionEnding == Ending::Reset;
+          }
           co_await check(response);
         }
   }
@@ -211,11 +91,9 @@
   }
 
   /// Sends requests to a route whose server stops within the head.
-  void checkRoute(const std::string &prefix, const TruncatingServer &server) {
+  void checkRoute(const std::string &prefix, const test::RawServer &server) {
     startGateway();
     runTest([&]() -> asio::awaitable<void> {
-      while (!Gateway->context().isReady())
-        co_await sleepFor(PollInterval);
       co_await forEachTruncation(
           headSize,
           [&](const TruncatedResponse &sent) -> asio::awaitable<void> {
@@ -234,13 +112,6 @@
           });
     });
   }
-
-  asio::io_context Io{1};
-  base::SystemClock Clock;
-  TruncatingServer Server{Io};
-  TruncatingServer Engine{Io};
-  std::unique_ptr<Shell> Gateway;
-  int LastAttempt = 0;
 };
 
 /// Guards against a head that ends with its connection and is taken for whole
@@ -265,8 +136,6 @@
     return headSize(framing) + bodyOf(framing).size();
   };
   runTest([&]() -> asio::awaitable<void> {
-    while (!Gateway->context().isReady())
-      co_await sleepFor(PollInterval);
     co_await forEachTruncation(
         wholeSize, [&](const TruncatedResponse &sent) -> asio::awaitable<void> {
           const bool looksWhole = sent.BodyFraming == Framing::None &&
@@ -307,8 +176,12 @@
 /// takes the socket's error, and reads then see a regular end.
 TEST_F(TruncatedResponseTest, AResetWhileTheRequestIsSentIsNoEnd) {
   constexpr std::size_t RequestBytes = 32 << 20;
-  Server.Next = {Framing::None, Ending::Reset,
-                 headSize(Framing::None) + Body.size() / 2};
+  const TruncatedResponse response{Framing::None, Ending::Reset,
+                                   headSize(Framing::None) + Body.size() / 2};
+  Server.Respond = [response](std::string_view attempt) {
+    return textOf(response, attempt);
+  };
+  Server.IsReset = true;
   runTest([&]() -> asio::awaitable<void> {
     auto opened = co_await http::Connection::open(Server.Address, seconds(1));
     EXPECT_TRUE(ok(opened));
