http: A response whose status HTTP does not have is malformed

Shown here with a server that sends given bytes: 000, 001, 042, 099, 600, 700 and 999 were delivered by all three kinds of routes, and 101 too, which nobody asks for.

Cause: the parser takes any three digits, and nothing looked at the number: what is below 500 counted as served. Our own calls took it as well, and rejected it later as "not 200".

readResponseHead() is now the one place where heads of responses are read, for forwarded requests, our own calls and streams of events; it accepts 100 to 599 without 101. Anything else is malformed: the request may have run, is retried if that is allowed, and is answered 502 otherwise.

--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -1,5 +1,7 @@
 #include "drumlanding/http/http.h"
 
+#include "message-head.h"
+
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
@@ -199,8 +201,7 @@
   if (idleTimeout)
     stream.expires_after(responseTimeout);
   if (!ec)
-    co_await beast::http::async_read_header(
-        stream, buffer, parser, asio::redirect_error(use_awaitable, ec));
+    ec = co_await readResponseHead(stream, buffer, parser, parser.get());
   if (!ec)
     ec = co_await readBody(stream, buffer, parser, idleTimeout, onProgress);
   if (ec)
@@ -241,8 +242,7 @@
   beast::http::response_parser<beast::http::buffer_body> parser;
   parser.body_limit(boost::none);
   if (!ec)
-    co_await beast::http::async_read_header(
-        stream, buffer, parser, asio::redirect_error(use_awaitable, ec));
+    ec = co_await readResponseHead(stream, buffer, parser, parser.get());
   if (ec)
     co_return end;
   end.Status = static_cast<int>(parser.get().result_int());
--- a/src/http/connection.cc
+++ b/src/http/connection.cc
@@ -1,5 +1,6 @@
 #include "drumlanding/http/connection.h"
 
+#include "message-head.h"
 #include "socket-options.h"
 
 #include <algorithm>
@@ -23,8 +24,6 @@
 
 /// Maximum number of body bytes that one read returns.
 constexpr std::size_t MaxReadBytes = 16 << 10;
-/// Maximum size of the headers of a response.
-constexpr std::uint32_t MaxHeadBytes = 32 << 10;
 /// Maximum number of bytes that wait to be parsed. The parser has no limit of
 /// its own on the header of a chunk.
 constexpr std::size_t MaxUnparsedBytes = 128 << 10;
@@ -89,12 +88,10 @@
 
   asio::awaitable<Result<ResponseHead>> readHead() override {
     Parser.emplace();
-    Parser->header_limit(MaxHeadBytes);
     Parser->body_limit(boost::none);
     Parser->skip(IsHeadRequest);
-    error_code ec;
-    co_await beast::http::async_read_header(
-        Stream, Buffer, *Parser, asio::redirect_error(use_awaitable, ec));
+    const error_code ec =
+        co_await readResponseHead(Stream, Buffer, *Parser, Parser->get());
     if (ec)
       co_return toError(Peer, ec);
     ResponseHead head;
