http: A response with a line that begins with a blank is malformed

A server in trouble sent a head in which the name of a header held a blank, and the caller got it as an answer, with that line passed on or with another body (users' report, MIXED). Shown here: a blank or a tab before a name was accepted, as the only bytes of all 256 that names cannot have.

Cause: the parser joins a line that begins with a blank to the line before it (obsolete line folding). The header before it was delivered with a changed value, and the line itself was lost: " Content-Length: 2" left the body without a length. Ruled out: blanks inside a name and before its colon, which the parser rejects.

RFC 9112 allows a gateway to replace such a response by a 502.

--- a/test/malformed-response-test.cc
+++ b/test/malformed-response-test.cc
@@ -111,6 +111,21 @@
   expectRejected(heads);
 }
 
+/// Guards against a line that begins with a blank and is joined to the line
+/// before it, which loses a header or changes another (issue 44, MIXED).
+TEST_F(MalformedResponseTest, BytesBeforeAName) {
+  std::vector<Head> heads;
+  for (int c = 0; c < 256; ++c) {
+    if (isTokenCharacter(static_cast<unsigned char>(c)))
+      continue;
+    const std::string byte(1, static_cast<char>(c));
+    heads.push_back({"200", "X-A: v\r\n" + byte + "X-B: v\r\n"});
+  }
+  heads.push_back({"200", "X-A: v\r\n Content-Length: 2\r\n"});
+  heads.push_back({"200", "X-A: v\r\n\t\r\n"});
+  expectRejected(heads);
+}
+
 /// Guards against control bytes in values, such as a bare line feed that other
 /// recipients take for the end of a line.
 TEST_F(MalformedResponseTest, ControlBytesInAValue) {
