http: A response with a transfer coding other than chunked is malformed

Cause: requests with such codings are refused as ambiguous; responses were not checked. Both now use isAmbiguous(), which also refuses Transfer-Encoding beside Content-Length and in HTTP/1.0.

--- a/src/http/message-head.cc
+++ b/src/http/message-head.cc
@@ -84,6 +84,9 @@
     co_return ec;
   if (!isValidStatus(head.result_int()))
     co_return beast::http::make_error_code(beast::http::error::bad_status);
+  if (isAmbiguous(head))
+    co_return beast::http::make_error_code(
+        beast::http::error::bad_transfer_encoding);
   co_return error_code();
 }
 
--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -1,6 +1,7 @@
 #include "drumlanding/http/http.h"
 
 #include "drumlanding/http/connection.h"
+#include "message-head.h"
 #include "socket-options.h"
 
 #include <atomic>
@@ -89,19 +90,6 @@
   return request;
 }
 
-/// Returns true if the message has a transfer coding other than "chunked", or
-/// both Transfer-Encoding and Content-Length: recipients could disagree on
-/// where it ends (request smuggling).
-template <typename Message> bool isAmbiguous(const Message &message) {
-  using beast::http::field;
-  const auto coding = message.find(field::transfer_encoding);
-  if (coding == message.end())
-    return false;
-  return message.version() < 11 || message.count(field::content_length) > 0 ||
-         message.count(field::transfer_encoding) > 1 ||
-         !beast::iequals(coding->value(), "chunked");
-}
-
 /// An exchange on a Beast stream.
 class HttpExchange final : public Exchange {
 public:
--- a/test/malformed-response-test.cc
+++ b/test/malformed-response-test.cc
@@ -141,6 +141,27 @@
   expectRejected(heads);
 }
 
+/// Guards against a body that arrives in a transfer coding and is delivered
+/// without it: its bytes are not the server's body.
+TEST_F(MalformedResponseTest, TransferCodingsOtherThanChunked) {
+  startGateway();
+  runTest([&]() -> asio::awaitable<void> {
+    for (const char *coding : {"gzip", "gzip, chunked", "chunked, gzip"}) {
+      SCOPED_TRACE(coding);
+      Server.Respond = [coding](std::string_view attempt) {
+        return "HTTP/1.1 200 OK\r\nX-Attempt-Id: " + std::string(attempt) +
+               "\r\nX-Served-Stamp: s\r\nTransfer-Encoding: " + coding +
+               "\r\n\r\n2\r\nab\r\n0\r\n\r\n";
+      };
+      const http::Response response = co_await call("/once/");
+      EXPECT_EQ(response.Status, 502);
+      http::FetchResult fetched =
+          co_await http::fetch(Server.Address, nextRequest("/"), TestLimit);
+      EXPECT_FALSE(ok(fetched.Outcome));
+    }
+  });
+}
+
 /// All that HTTP allows still passes.
 TEST_F(MalformedResponseTest, ValidHeadsAreForwarded) {
   std::string name = "X-";
