http: Interim responses are skipped

Cause: the parser treats an interim response as a complete one without a body, and so did readHead(). It now reads on, up to 16 times, which ends a server that sends them without end.

MalformedResponseTest.InterimResponsesAreSkipped failed before for all four statuses.

--- a/include/drumlanding/http/connection.h
+++ b/include/drumlanding/http/connection.h
@@ -58,8 +58,9 @@
     send(request, std::make_shared<const std::string>(request.Body));
   }
 
-  /// Reads the head of the next response. May be called again after a response
-  /// that belongs to another request has been read to its end.
+  /// Reads the head of the next response, after interim ones (status 1xx),
+  /// which are skipped up to a limit. May be called again after a response that
+  /// belongs to another request has been read to its end.
   virtual asio::awaitable<base::Result<ResponseHead>> readHead() = 0;
 
   /// Reads the next chunk of the body; empty at the end of a complete response.
--- a/src/http/connection.cc
+++ b/src/http/connection.cc
@@ -24,6 +24,10 @@
 
 /// Maximum number of body bytes that one read returns.
 constexpr std::size_t MaxReadBytes = 16 << 10;
+/// Lower statuses are those of interim responses.
+constexpr unsigned FirstFinalStatus = 200;
+/// Maximum number of interim responses before the final one.
+constexpr int MaxInterimResponses = 16;
 /// Maximum number of bytes that wait to be parsed. The parser has no limit of
 /// its own on the header of a chunk.
 constexpr std::size_t MaxUnparsedBytes = 128 << 10;
@@ -87,20 +91,19 @@
   }
 
   asio::awaitable<Result<ResponseHead>> readHead() override {
-    Parser.emplace();
-    Parser->body_limit(boost::none);
-    Parser->skip(IsHeadRequest);
-    const error_code ec =
-        co_await readResponseHead(Stream, Buffer, *Parser, Parser->get());
-    if (ec)
-      co_return toError(Peer, ec);
-    ResponseHead head;
-    head.Status = static_cast<int>(Parser->get().result_int());
-    head.IsDelimited = !Parser->need_eof() || Parser->is_done();
-    for (const auto &field : Parser->get().base())
-      head.Headers.push_back(
-          {std::string(field.name_string()), std::string(field.value())});
-    co_return head;
+    for (int i = 0; i <= MaxInterimResponses; ++i) {
+      Parser.emplace();
+      Parser->body_limit(boost::none);
+      Parser->skip(IsHeadRequest);
+      const error_code ec =
+          co_await readResponseHead(Stream, Buffer, *Parser, Parser->get());
+      if (ec)
+        co_return toError(Peer, ec);
+      if (Parser->get().result_int() >= FirstFinalStatus)
+        co_return makeHead();
+    }
+    co_return base::Error{base::ErrorCode::Malformed, base::toString(Peer),
+                          "too many interim responses"};
   }
 
   asio::awaitable<Result<std::string>> read() override {
@@ -135,6 +138,16 @@
 private:
   using BodyParser = beast::http::response_parser<beast::http::buffer_body>;
 
+  ResponseHead makeHead() const {
+    ResponseHead head;
+    head.Status = static_cast<int>(Parser->get().result_int());
+    head.IsDelimited = !Parser->need_eof() || Parser->is_done();
+    for (const auto &field : Parser->get().base())
+      head.Headers.push_back(
+          {std::string(field.name_string()), std::string(field.value())});
+    return head;
+  }
+
   /// Returns why a body that has ended with its connection is truncated; no
   /// error if it is complete. A socket reports a reset or a timeout only once:
   /// after a send has got it, reads see a regular end.
--- a/test/malformed-response-test.cc
+++ b/test/malformed-response-test.cc
@@ -162,6 +162,41 @@
   });
 }
 
+/// Guards against an interim response that is taken for the response.
+TEST_F(MalformedResponseTest, InterimResponsesAreSkipped) {
+  startGateway();
+  runTest([&]() -> asio::awaitable<void> {
+    for (const char *status : {"100", "102", "103", "199"}) {
+      SCOPED_TRACE(status);
+      Server.Respond = [status](std::string_view attempt) {
+        const std::string lines = "X-Attempt-Id: " + std::string(attempt) +
+                                  "\r\nX-Served-Stamp: s\r\n\r\n";
+        return "HTTP/1.1 " + std::string(status) + " Text\r\n" + lines +
+               makeResponse(attempt, "200", "");
+      };
+      const http::Response response = co_await call("/once/");
+      EXPECT_EQ(response.Status, 200);
+      EXPECT_EQ(response.Body, Body);
+    }
+  });
+}
+
+/// Guards against interim responses without end that keep a request waiting.
+TEST_F(MalformedResponseTest, EndlessInterimResponses) {
+  constexpr int Interim = 1'000;
+  startGateway();
+  runTest([&]() -> asio::awaitable<void> {
+    Server.Respond = [](std::string_view attempt) {
+      std::string text;
+      for (int i = 0; i < Interim; ++i)
+        text += "HTTP/1.1 103 Early Hints\r\n\r\n";
+      return text + makeResponse(attempt, "200", "");
+    };
+    const http::Response response = co_await call("/once/");
+    EXPECT_EQ(response.Status, 502);
+  });
+}
+
 /// All that HTTP allows still passes.
 TEST_F(MalformedResponseTest, ValidHeadsAreForwarded) {
   std::string name = "X-";
