--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -9,6 +9,7 @@
 #include <ctime>
 #include <gtest/gtest.h>
 #include <limits>
+#include <map>
 #include <nlohmann/json.hpp>
 
 namespace drumlanding::platform {
@@ -48,6 +49,14 @@
   return values;
 }
 
+/// Returns `depth` lists inside each other.
+std::string nestedLists(std::size_t depth) {
+  return std::string(depth, '[') + std::string(depth, ']');
+}
+
+/// Deep enough to exhaust a stack, or a VM's memory if it is built.
+constexpr std::size_t DeepNesting = 500'000;
+
 TEST(ProtocolCodec, ParsesCallerHeaders) {
   const gateway::ProtocolCodec codec = makeProtocolCodec();
   const gateway::CallerRequest r = codec.DecodeRequest(sampleRequest());
@@ -392,6 +401,53 @@
   EXPECT_FALSE(ok(decodeServer("servers/i-7", "")));
 }
 
+std::string serverEntry(const std::string &name, const std::string &text) {
+  std::map<std::string, std::string> fields{
+      {"backend", R"("llm")"}, {"address", R"("10.1.2.3:80")"},
+      {"zone", R"("a")"},      {"version", R"("v1")"},
+      {"slots", "64"},         {"state", R"("ready")"},
+      {"coldLeftMs", "0"},     {"seq", "4"}};
+  fields[name] = text;
+  std::string entry;
+  for (const auto &[key, value] : fields)
+    entry += (entry.empty() ? "{\"" : ",\"") + key + "\":" + value;
+  return entry + "}";
+}
+
+/// Guards against odd entries of another writer that end the gateways which
+/// read the list, or are used with values out of range (issue 44, LOST).
+TEST(ServerList, RejectsOddEntries) {
+  EXPECT_TRUE(ok(decodeServer("servers/i-7", serverEntry("slots", "64"))));
+  for (const auto &[name, text] :
+       std::vector<std::pair<std::string, std::string>>{
+           {"address", R"("10.1.2.3:70000")"},
+           {"address", R"("10.1.2.3:0")"},
+           {"address", R"("10.1.2.3:-1")"},
+           {"address", R"("10.1.2.3:")"},
+           {"slots", "99999999999999999999999"},
+           {"coldLeftMs", "1e300"},
+           {"coldLeftMs", "1e400"},
+           {"seq", "1e300"},
+           {"seq", "-1"},
+           {"born", "18446744073709551615"},
+           {"x", nestedLists(DeepNesting)},
+           {"zone", nestedLists(DeepNesting)}})
+    EXPECT_FALSE(ok(decodeServer("servers/i-7", serverEntry(name, text))))
+        << name << " is " << text.substr(0, 30);
+  EXPECT_FALSE(ok(decodeServer("servers/i-7", nestedLists(DeepNesting))));
+  EXPECT_FALSE(ok(decodeServer("servers/i-7", std::string(DeepNesting, '{'))));
+}
+
+/// Guards against ids that cannot be sent in a header: a line break in one
+/// would begin another header of each request to that server (issue 44).
+TEST(ServerList, RejectsIdsThatAreNoHeaderValues) {
+  const std::string entry = serverEntry("slots", "64");
+  for (const char *key :
+       {"servers/", "servers/a\r\nX-Priority: 0", "servers/a b",
+        "servers/a\x7f", "servers/\xc3\xa4", "serv", ""})
+    EXPECT_FALSE(ok(decodeServer(key, entry))) << key;
+}
+
 /// Returns a config with many routes, as the store's watch delivers it.
 std::string makeLargeChange(std::size_t routes) {
   nlohmann::json config = nlohmann::json::parse(SampleConfig);
