platform: A faulty server's response does not end the gateway that reads it

The test process ended with signal 11.

On the same path: a handle with a line break went into a header of the resumed request; counts and times out of range were converted to integers that cannot hold them, which is undefined.

Handles are whole numbers or printable text without blanks; any other counts as missing, so that the run may be stopped and is not resumed. Reports with counts out of range are rejected; the time until a server leaves is limited to a hundred years.

--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -249,6 +249,43 @@
       Outcome::Failed);
 }
 
+/// Guards against responses of a faulty server that end the process which asked
+/// it, or that add headers to a request (issue 44).
+TEST(ProtocolCodec, OddCopyResponsesNameNoHandle) {
+  const gateway::ProtocolCodec codec = makeProtocolCodec();
+  const auto read = [&](std::string body) {
+    return codec.DecodeCopyResponse(
+        http::Response{200, "", std::move(body), {}});
+  };
+  for (const std::string &handle :
+       {nestedLists(DeepNesting), std::string("[1]"), std::string("1.5"),
+        std::string("null"), std::string(R"("")"), std::string(R"("a b")"),
+        std::string(R"("h\r\nX-Priority: 0")")})
+    EXPECT_EQ(read("{\"handle\":" + handle + "}").Handle, "")
+        << handle.substr(0, 30);
+  EXPECT_EQ(read(R"({"handle":"h7","made":1e300})").Handle, "h7");
+  EXPECT_EQ(read(R"({"handle":"h7","made":1e300})").EventsGenerated, 0U);
+  EXPECT_EQ(read(R"({"handle":"h7","made":-1})").EventsGenerated, 0U);
+}
+
+/// Guards against reports of a faulty server that end the process which asked
+/// it, or that are used with values out of range (issue 44).
+TEST(ProtocolCodec, RejectsOddServerReports) {
+  const gateway::ProtocolCodec codec = makeProtocolCodec();
+  const auto read = [&](std::string body) {
+    return codec.DecodeReport(http::Response{200, "", std::move(body), {}});
+  };
+  for (const std::string &field :
+       {std::string(R"("running":1e300)"), std::string(R"("running":-1)"),
+        std::string(R"("waiting":99999999999)"), std::string(R"("kvUsed":-1)"),
+        std::string(R"("kvTotal":1e300)"),
+        std::string(R"("born":18446744073709551615)"),
+        "\"x\":" + nestedLists(DeepNesting)})
+    EXPECT_FALSE(ok(read("{\"state\":\"ready\"," + field + "}")))
+        << field.substr(0, 30);
+  EXPECT_FALSE(ok(read(nestedLists(DeepNesting))));
+}
+
 TEST(ProtocolCodec, DecodesServerReports) {
   const gateway::ProtocolCodec codec = makeProtocolCodec();
   const auto read = [&](std::string body) {
@@ -265,6 +302,12 @@
   EXPECT_FALSE(base::value(report).IsLeaving);
   EXPECT_FALSE(base::value(report).LeavesIn);
   EXPECT_EQ(base::value(report).StartedAt, milliseconds(0));
+  report = read(R"({"state":"draining","leaves_ms":-1})");
+  EXPECT_EQ(base::value(report).LeavesIn, milliseconds(-1));
+  report = read(R"({"state":"draining","leaves_ms":1e300})");
+  ASSERT_TRUE(ok(report));
+  EXPECT_GT(base::value(report).LeavesIn, milliseconds(0));
+  EXPECT_LT(*base::value(report).LeavesIn, std::chrono::hours(24 * 365 * 101));
   report = read(R"({"state":"ready","born":1777897410029})");
   ASSERT_TRUE(ok(report));
   EXPECT_EQ(base::value(report).StartedAt.count(), 1'777'897'410'029);
