gateway: A stopping gateway refuses requests that may outlast it

In a planned stop in calm, requests that came late in the grace period were taken and passed on, and cut at its end without an answer, among them requests that may not be repeated (users' report, LOST).

Shown here: a request whose body is complete 3.2 s after the stop signal was passed on to a server, and its connection was closed at the gateway's exit. Idle connections are closed from 3 s after the signal on, but one whose request is on its way is served.

Cause: only streams were refused, by their expected duration; a plain request was admitted at any time, whatever its deadline.

Once the load balancer has removed the gateway (3 s), a request whose deadline is after the gateway's exit is refused at once: not run, with Retry-After, so that another gateway can serve it. Until then the expected duration decides, as before: requests are short then, and most end long before the exit.

StoppingGatewayTest.ARequestThatMayOutlastTheStopIsRefused failed before: the server got the request, and its caller no answer.

--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -88,14 +88,21 @@
     f.Request.SharedPromptParts.resize(MaxTrackedParts);
   for (const std::string &id : f.Request.SharedPromptParts)
     f.PartFingerprints.push_back(makePartFingerprint(f.organisation(), id));
-  // The stream would be interrupted when this gateway exits; another gateway
-  // can complete it.
-  if (Ctx.IsLeaving &&
-      f.ReceivedAt + expectedStreamDuration(f) > Ctx.stopDeadline())
+  if (Ctx.IsLeaving && mayOutlastStop(f))
     return makeRefusal(f, Verdict::NotRun, Reason::Leaving);
   return std::nullopt;
 }
 
+/// Returns whether the request would be interrupted when this gateway exits;
+/// another gateway can complete it. After the load balancer has removed this
+/// gateway, any request that has time until then may.
+bool Forwarder::mayOutlastStop(const ForwardedRequest &f) const {
+  const base::Instant end = Ctx.isBalancerRemovalPending()
+                                ? f.ReceivedAt + expectedStreamDuration(f)
+                                : f.Deadline;
+  return end > Ctx.stopDeadline();
+}
+
 const Server *Forwarder::chooseServer(ForwardedRequest &f) {
   return Ctx.Placer.chooseForRequest(Ctx.now(), f.ChosenService->Name,
                                      f.TriedServers, Ctx.Random);
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -21,6 +21,7 @@
   /// Matches the request with a route and checks its key. Returns the response
   /// when the request is rejected, and nullopt when it is to be forwarded.
   std::optional<http::Response> admit(ForwardedRequest &f);
+  bool mayOutlastStop(const ForwardedRequest &f) const;
   asio::awaitable<std::optional<Server>> nextServer(ForwardedRequest &f,
                                                     http::Exchange &x);
   asio::awaitable<void> forwardCall(ForwardedRequest &f, http::Exchange &x);
--- a/src/gateway/gateway-context.h
+++ b/src/gateway/gateway-context.h
@@ -62,6 +62,10 @@
   /// The process exits this long before the end of the termination grace
   /// period.
   static constexpr base::milliseconds ExitMargin{250};
+  /// Time from the stop signal until the load balancer has removed this
+  /// gateway: it checks readiness every second and needs two failed checks.
+  /// Until then it may open new connections.
+  static constexpr base::milliseconds BalancerRemovalTime{3'000};
 
   GatewayContext(asio::io_context &io, const base::Clock &clock,
                  GatewaySettings settings, ProtocolCodec codec,
@@ -159,6 +163,11 @@
   base::Instant stopDeadline() const {
     return LeavingSince + Settings.TerminationGracePeriod - ExitMargin;
   }
+  /// Returns whether the load balancer may still send connections to this
+  /// gateway, which is stopping.
+  bool isBalancerRemovalPending() const {
+    return now() < LeavingSince + BalancerRemovalTime;
+  }
   /// Applies a config if its version is newer than that of the config in force.
   asio::awaitable<void> applyConfig(std::string text, std::string_view from);
 };
--- a/src/gateway/shell.cc
+++ b/src/gateway/shell.cc
@@ -15,10 +15,6 @@
 using base::milliseconds;
 using daemon::sleepFor;
 
-/// Time until the load balancer has removed this gateway: it checks readiness
-/// every second and needs two failed checks. Until then it may open new
-/// connections.
-constexpr milliseconds BalancerRemovalTime{3'000};
 constexpr milliseconds DrainCheckInterval{50};
 
 } // namespace
@@ -220,7 +216,7 @@
 }
 
 asio::awaitable<void> Shell::drainAndStop() {
-  co_await sleepFor(BalancerRemovalTime);
+  co_await sleepFor(GatewayContext::BalancerRemovalTime);
   CallerServer->stopAccepting();
   do {
     CallerServer->closeIdle();
--- a/test/forwarding-test.cc
+++ b/test/forwarding-test.cc
@@ -343,6 +343,7 @@
     settings.ReadyListen = freeEndpoint();
     settings.ControlListen = freeEndpoint();
     settings.Retries = {0.2, 50, seconds(10)};
+    settings.TerminationGracePeriod = GracePeriod;
     auto shell = Shell::start(Io, Clock, settings,
                               platform::makeProtocolCodec(), storeReader());
     ASSERT_TRUE(ok(shell)) << describe(error(shell));
@@ -416,6 +417,7 @@
   base::SystemClock Clock;
   Config GatewayConfig;
   bool HasConfig = true;
+  milliseconds GracePeriod = GatewaySettings().TerminationGracePeriod;
   decltype(StoreReader::WatchConfig) WatchConfig;
   std::function<void()> OnReadConfig;
   std::vector<std::unique_ptr<TestServer>> Servers;
@@ -787,6 +789,81 @@
   });
 }
 
+/// A gateway that is stopped, with a grace period just longer than the time in
+/// which its load balancer may still send connections.
+class StoppingGatewayTest : public ForwardingTest {
+protected:
+  using Socket = ip::tcp::socket;
+
+  StoppingGatewayTest() {
+    GracePeriod = milliseconds(4'000);
+    TestServer &shop = addServer("s1", "shop");
+    shop.OnRequest = [](http::Request, http::Exchange &) { return hang(); };
+    startGateway();
+  }
+
+  /// Runs until the gateway stops the loop, and then until `isDone`.
+  void runUntilStopped(const bool &isDone) {
+    Io.run_for(TestLimit);
+    Io.restart();
+    const base::Instant until = Clock.now().Steady + seconds(1);
+    while (!isDone && Clock.now().Steady < until)
+      Io.run_one_for(PollInterval);
+    EXPECT_TRUE(isDone);
+  }
+
+  asio::awaitable<Socket> connect() {
+    Socket socket(Io);
+    co_await socket.async_connect(
+        {ip::make_address(ListenAddress.Address), ListenAddress.Port},
+        asio::use_awaitable);
+    co_return socket;
+  }
+
+  /// Reads until the gateway closes the connection.
+  static asio::awaitable<std::string> readAll(Socket &socket) {
+    std::string text;
+    boost::system::error_code ec;
+    std::array<char, 4'096> buf{};
+    while (!ec) {
+      const std::size_t n = co_await socket.async_read_some(
+          asio::buffer(buf), asio::redirect_error(asio::use_awaitable, ec));
+      text.append(buf.data(), n);
+    }
+    co_return text;
+  }
+
+  std::size_t requestsAtServer() const { return Servers[0]->Requests.size(); }
+};
+
+/// Guards against requests that are taken late in the grace period, passed on,
+/// and cut at its end (issue 44, LOST).
+TEST_F(StoppingGatewayTest, ARequestThatMayOutlastTheStopIsRefused) {
+  constexpr milliseconds Late{3'200};
+  std::string answer;
+  bool isDone = false;
+  const auto callLate = [&]() -> asio::awaitable<void> {
+    co_await waitUntilReady();
+    Socket socket = co_await connect();
+    const std::string first = "POST /once/x HTTP/1.1\r\nHost: a.example\r\n"
+                              "X-Attempt-Id: id-1\r\nContent-Length: 2\r\n"
+                              "\r\na";
+    const std::string last = "b";
+    co_await asio::async_write(socket, asio::buffer(first),
+                               asio::use_awaitable);
+    Gateway->shutDown();
+    co_await sleepFor(Late);
+    co_await asio::async_write(socket, asio::buffer(last), asio::use_awaitable);
+    answer = co_await readAll(socket);
+    isDone = true;
+  };
+  asio::co_spawn(Io, callLate(), asio::detached);
+  runUntilStopped(isDone);
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 503 ")) << answer;
+  EXPECT_NE(answer.find("Retry-After: "), std::string::npos) << answer;
+  EXPECT_EQ(requestsAtServer(), 0U);
+}
+
 TEST_F(ForwardingTest, ValidSettingsAreReloadedAndInvalidOnesRejected) {
   startGateway();
   runTest([&]() -> asio::awaitable<void> {
