gateway: Requests that are open at the exit are answered

A request that was sent before the stop signal and hangs at its server got an empty response.

At its exit the gateway now aborts all open requests. Those without a response get one: 502 if they may have run, 503 with Retry-After if not; a response that has begun ends without its end, as before. 100 ms are left for them, of the 250 ms before the end of the grace period. Such an end is no evidence against the server, and is logged (requests-cut; "gateway stops").

--- a/src/gateway/forwarded-request.cc
+++ b/src/gateway/forwarded-request.cc
@@ -167,6 +167,8 @@
     return "caller left";
   if (f.isAbandoned())
     return "abandoned";
+  if (f.isStopping())
+    return "gateway stops";
   if (f.isExpired())
     return "expired";
   if (f.ReadError == base::ErrorCode::Closed)
@@ -361,6 +363,8 @@
 Reason lossReason(ForwardedRequest &f, Reason loss) {
   if (f.isExpired())
     return Reason::Expired;
+  if (f.isStopping())
+    return Reason::Leaving;
   if (f.ReadError == base::ErrorCode::TooLarge)
     return Reason::AnswerTooLarge;
   return isQuarantined(f) ? Reason::Quarantined : loss;
@@ -394,7 +398,7 @@
 
 void recordOutcome(ForwardedRequest &f, const std::string &server,
                    const Attempt &attempt) {
-  if (f.hasCallerDisconnected() || f.isAbandoned())
+  if (f.hasCallerDisconnected() || f.isEndedByGateway())
     return;
   ServerOutcome outcome = ServerOutcome::Served;
   switch (attempt.End) {
--- a/src/gateway/forwarded-request.h
+++ b/src/gateway/forwarded-request.h
@@ -25,6 +25,8 @@
   CallerDisconnected,
   /// A part of the prompt was quarantined.
   Abandoned,
+  /// This gateway is about to exit.
+  Stopping,
 };
 
 /// A caller's request and the state of its forwarding.
@@ -81,7 +83,11 @@
     return isAborted(AbortReason::CallerDisconnected);
   }
   bool isAbandoned() const { return isAborted(AbortReason::Abandoned); }
+  bool isStopping() const { return isAborted(AbortReason::Stopping); }
   bool isAborted() const { return !AbortReasons.empty(); }
+  /// Returns whether the end of the connection to the server says nothing about
+  /// the server, since the gateway itself has ended it.
+  bool isEndedByGateway() const { return isAbandoned() || isStopping(); }
   /// Computed when it is first needed, which few requests do.
   const RequestFingerprint &fingerprint();
   /// Returns the organisation's name; empty if it is unknown.
--- a/src/gateway/forwarder.cc
+++ b/src/gateway/forwarder.cc
@@ -45,6 +45,7 @@
     co_return;
   }
   ++Ctx.OpenRequests;
+  OpenRequests.insert(f.get());
   f->startDeadlineTimer();
   std::weak_ptr<ForwardedRequest> weak = f;
   x.onDisconnect([weak] {
@@ -60,9 +61,15 @@
   endTurn(*f);
   f->DeadlineTimer.cancel();
   f->closeConnection();
+  OpenRequests.erase(f.get());
   --Ctx.OpenRequests;
 }
 
+void Forwarder::abortAll(AbortReason reason) {
+  for (ForwardedRequest *request : OpenRequests)
+    request->abort(reason);
+}
+
 std::optional<http::Response> Forwarder::admit(ForwardedRequest &f) {
   if (!Ctx.Routes)
     return makeRefusal(f, Verdict::NotRun, Reason::NotReady);
--- a/src/gateway/forwarder.h
+++ b/src/gateway/forwarder.h
@@ -7,6 +7,8 @@
 
 #include "drumlanding/http/http.h"
 
+#include <unordered_set>
+
 namespace drumlanding::gateway {
 
 class Forwarder {
@@ -17,6 +19,9 @@
   /// Handles one request of a caller.
   asio::awaitable<void> serve(http::Request request, http::Exchange &x);
 
+  /// Ends the work on all open requests. Those without a response get one.
+  void abortAll(AbortReason reason);
+
 private:
   /// Matches the request with a route and checks its key. Returns the response
   /// when the request is rejected, and nullopt when it is to be forwarded.
@@ -32,6 +37,7 @@
 
   GatewayContext &Ctx;
   Migrator &Migrations;
+  std::unordered_set<ForwardedRequest *> OpenRequests;
 };
 
 } // namespace drumlanding::gateway
--- a/src/gateway/shell.cc
+++ b/src/gateway/shell.cc
@@ -16,6 +16,9 @@
 using daemon::sleepFor;
 
 constexpr milliseconds DrainCheckInterval{50};
+/// Time for the responses to requests that are open at the exit; less than
+/// GatewayContext::ExitMargin.
+constexpr milliseconds FinalResponseTime{100};
 
 } // namespace
 
@@ -222,6 +225,12 @@
     CallerServer->closeIdle();
     co_await sleepFor(DrainCheckInterval);
   } while (Ctx.OpenRequests > 0 && Ctx.now() < Ctx.stopDeadline());
+  if (Ctx.OpenRequests > 0) {
+    Ctx.Log.write("requests-cut", {{"open", Ctx.OpenRequests}});
+    RequestForwarder.abortAll(AbortReason::Stopping);
+    // Lets the responses go out.
+    co_await sleepFor(FinalResponseTime);
+  }
   PeerGossip->announceStop();
   Ctx.Log.write("stopped", {{"open", Ctx.OpenRequests}});
   Ctx.Io.stop();
--- a/src/gateway/suspect-requests.cc
+++ b/src/gateway/suspect-requests.cc
@@ -35,7 +35,8 @@
 std::optional<EndKind> classifyEnd(const ForwardedRequest &f,
                                    const Server &server) {
   const Server *known = f.Ctx.Servers.find(server.Listed.Id);
-  if (!known || f.isAbandoned() || f.ReadError == base::ErrorCode::Malformed ||
+  if (!known || f.isEndedByGateway() ||
+      f.ReadError == base::ErrorCode::Malformed ||
       f.ReadError == base::ErrorCode::TooLarge)
     return std::nullopt;
   if (hasAnnouncedEnd(f.Ctx, server))
--- a/test/forwarding-test.cc
+++ b/test/forwarding-test.cc
@@ -864,6 +864,29 @@
   EXPECT_EQ(requestsAtServer(), 0U);
 }
 
+/// Guards against requests that are open at the end of the grace period and get
+/// no answer (issue 44, LOST).
+TEST_F(StoppingGatewayTest, AnOpenRequestIsAnsweredAtTheStop) {
+  std::string answer;
+  bool isDone = false;
+  const auto callBefore = [&]() -> asio::awaitable<void> {
+    co_await waitUntilReady();
+    Socket socket = co_await connect();
+    const std::string whole = "POST /once/x HTTP/1.1\r\nHost: a.example\r\n"
+                              "X-Attempt-Id: id-1\r\nContent-Length: 0\r\n"
+                              "\r\n";
+    co_await asio::async_write(socket, asio::buffer(whole),
+                               asio::use_awaitable);
+    co_await waitUntil([this] { return requestsAtServer() == 1; });
+    Gateway->shutDown();
+    answer = co_await readAll(socket);
+    isDone = true;
+  };
+  asio::co_spawn(Io, callBefore(), asio::detached);
+  runUntilStopped(isDone);
+  EXPECT_TRUE(answer.starts_with("HTTP/1.1 502 ")) << answer;
+}
+
 TEST_F(ForwardingTest, ValidSettingsAreReloadedAndInvalidOnesRejected) {
   startGateway();
   runTest([&]() -> asio::awaitable<void> {
