http: Whether a connection is kept is decided when the head is written

Cause: the exchange took the decision when it began, and only the server looked at the stop afterwards. It is now made when the head of the response is written, for whole responses and for streams.

ForwardingTest.AResponseAfterTheStopSignalClosesItsConnection failed before in three runs of three and passes in three of three. connection-limit-test 9 of 9.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -93,9 +93,13 @@
 /// An exchange on a Beast stream.
 class HttpExchange final : public Exchange {
 public:
+  /// `closesAfterResponses` may become true while the request is handled.
   HttpExchange(beast::tcp_stream &stream, bool keepAlive,
+               const std::atomic<bool> &closesAfterResponses,
                base::milliseconds writeTimeout)
-      : Stream(stream), KeepAlive(keepAlive), WriteTimeout(writeTimeout) {}
+      : Stream(stream), KeepAlive(keepAlive),
+        ClosesAfterResponses(closesAfterResponses), WriteTimeout(writeTimeout) {
+  }
   ~HttpExchange() override {
     if (!IsWatching)
       return;
@@ -112,7 +116,7 @@
       message.set(beast::http::field::content_type, response.ContentType);
     for (const Header &h : response.Headers)
       message.insert(h.Name, h.Value);
-    message.keep_alive(KeepAlive);
+    message.keep_alive(decideKeepAlive());
     message.body() = std::move(response.Body);
     message.prepare_payload();
     Stream.expires_after(WriteTimeout);
@@ -154,7 +158,7 @@
     head.result(static_cast<unsigned>(status));
     for (const Header &h : headers)
       head.insert(h.Name, h.Value);
-    head.keep_alive(KeepAlive);
+    head.keep_alive(decideKeepAlive());
     head.chunked(true);
     IsBodyOpen = true;
     std::ostringstream text;
@@ -183,6 +187,12 @@
   bool shouldKeepAlive() const { return KeepAlive && !IsBodyOpen; }
 
 private:
+  /// Decides whether the connection stays open, when a head is written.
+  bool decideKeepAlive() {
+    KeepAlive = KeepAlive && !ClosesAfterResponses;
+    return KeepAlive;
+  }
+
   asio::awaitable<bool> write(std::string text) {
     Stream.expires_after(WriteTimeout);
     error_code ec;
@@ -220,6 +230,7 @@
 
   beast::tcp_stream &Stream;
   bool KeepAlive;
+  const std::atomic<bool> &ClosesAfterResponses;
   base::milliseconds WriteTimeout;
   bool IsBodyOpen = false;
   bool IsWatching = false;
@@ -541,17 +552,16 @@
   const error_code ec = co_await readRequest(
       *connection, buffer, parser, limits, memory ? &*memory : nullptr);
   const bool keepAlive = !ec && parser.get().keep_alive();
-  HttpExchange exchange(connection->Stream, keepAlive, limits.IdleTimeout);
+  HttpExchange exchange(connection->Stream, keepAlive, ClosesAfterResponses,
+                        limits.IdleTimeout);
   if (ec) {
     if (const Response *response = errorResponse(ec))
       co_await exchange.send(*response);
     co_return false;
   }
   connection->Stream.expires_never();
-  if (ClosesAfterResponses)
-    exchange.closeAfterResponse();
   co_await Handle(toRequest(parser.release()), exchange);
-  // The response may have begun before closeAfterResponses() was called.
+  // The head may have been written before closeAfterResponses() was called.
   co_return exchange.shouldKeepAlive() && !ClosesAfterResponses;
 }
 
--- a/test/forwarding-test.cc
+++ b/test/forwarding-test.cc
@@ -887,6 +887,31 @@
   EXPECT_TRUE(answer.starts_with("HTTP/1.1 502 ")) << answer;
 }
 
+/// Guards against a response whose request was open at the stop signal, and
+/// that lets its caller send the next request on a connection that is closed
+/// unread (issue 44).
+TEST_F(ForwardingTest, AResponseAfterTheStopSignalClosesItsConnection) {
+  TestServer &shop = addServer("s1", "shop");
+  shop.OnRequest = [&](http::Request r,
+                       http::Exchange &x) -> asio::awaitable<void> {
+    Gateway->shutDown();
+    co_await sendOwnResponse(shop, std::move(r), x, 200, "whole");
+  };
+  startGateway();
+  runTest([&]() -> asio::awaitable<void> {
+    co_await waitUntilReady();
+    auto opened = co_await http::Connection::open(ListenAddress, TestLimit);
+    const std::shared_ptr<http::Connection> caller = value(opened);
+    caller->send(request("POST", "/once/x"));
+    const auto head = co_await caller->readHead();
+    EXPECT_TRUE(ok(head));
+    if (ok(head)) {
+      EXPECT_EQ(value(head).Status, 200);
+      EXPECT_EQ(value(head).header("Connection"), "close");
+    }
+  });
+}
+
 TEST_F(ForwardingTest, ValidSettingsAreReloadedAndInvalidOnesRejected) {
   startGateway();
   runTest([&]() -> asio::awaitable<void> {
