sidecar: An engine's response without end is not kept

A faulty server sent bytes without end, and the machine that had called it kept them all and ran out of memory (users' report, LOST).

A report or health may now have 256 KiB.

--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -43,6 +43,9 @@
 /// Maximum number of gateways notified per interval, in rotation.
 constexpr std::size_t MaxContacts = 8;
 constexpr int Fine = 200;
+/// Maximum size of the body of an engine's response. A report has a few
+/// kilobytes.
+constexpr std::size_t MaxResponseBytes = 256 << 10;
 
 } // namespace
 
@@ -107,6 +110,11 @@
     if (value(chunk).empty())
       co_return response;
     response.Body += value(chunk);
+    if (response.Body.size() <= MaxResponseBytes)
+      continue;
+    Log.write("response-too-large",
+              {{"engine", base::toString(Settings.Engine)}});
+    co_return base::Error{base::ErrorCode::TooLarge, EngineId, "response"};
   }
 }
 
--- a/test/sidecar-test.cc
+++ b/test/sidecar-test.cc
@@ -59,6 +59,10 @@
       co_await x.send(std::move(missing));
       co_return;
     }
+    if (IsEndless) {
+      co_await sendEndless(x);
+      co_return;
+    }
     if (HangsOnNextRequest) {
       HangsOnNextRequest = false;
       co_await sleepFor(TestLimit);
@@ -72,6 +76,19 @@
     co_await x.send(std::move(response));
   }
 
+  /// Sends a body until the sidecar closes the connection.
+  asio::awaitable<void> sendEndless(http::Exchange &x) {
+    const std::string piece(64 << 10, 'x');
+    std::size_t sent = 0;
+    bool isOpen = co_await x.beginBody(200, {});
+    while (isOpen) {
+      isOpen = co_await x.body(piece);
+      sent += piece.size();
+    }
+    EndlessBytes = std::max(EndlessBytes, sent);
+    ++EndlessResponses;
+  }
+
   bool hasNotice(const std::string &id, bool isLeaving) const {
     return std::any_of(Notices.begin(), Notices.end(), [&](const auto &notice) {
       return notice.server() == id && notice.is_leaving() == isLeaving;
@@ -112,6 +129,9 @@
   /// False for a server of a plain service.
   bool HasReport = true;
   int ReportRequests = 0;
+  bool IsEndless = false;
+  int EndlessResponses = 0;
+  std::size_t EndlessBytes = 0;
   std::vector<wire::EngineNotice> Notices;
   std::unique_ptr<http::Server> Engine;
   std::unique_ptr<gateway::DatagramSocket> Gateway;
@@ -172,5 +192,17 @@
   EXPECT_FALSE(hasNotice("first", false));
 }
 
+/// Guards against a body without end that a sidecar keeps until its timeout,
+/// which is more than its VM's memory (issue 44, LOST).
+TEST_F(SidecarTest, AnEndlessResponseIsNotKept) {
+  // Of this, sockets hold a part.
+  constexpr std::size_t MaxBytes = 16 << 20;
+  IsEndless = true;
+  EXPECT_TRUE(waitUntil([&] { return EndlessResponses >= 2; }));
+  EXPECT_LT(EndlessBytes, MaxBytes);
+  IsEndless = false;
+  EXPECT_TRUE(waitUntil([&] { return hasNotice("first", false); }));
+}
+
 } // namespace
 } // namespace drumlanding::sidecar
