gateway: Responses to the gateway's own calls to servers are bounded together

A response without end to a call of ours is cut off at 8 MiB, which suits the store and other gateways.

--- a/include/drumlanding/http/http.h
+++ b/include/drumlanding/http/http.h
@@ -148,10 +148,15 @@
   bool IsRefused = false;
 };
 
+/// The largest body of a response that fetch() reads.
+inline constexpr std::size_t MaxResponseBytes = 8 << 20;
+
 /// Sends a request on a new connection and reads the response. The timeout
-/// covers the whole call, so use it only for small responses.
+/// covers the whole call, so use it only for small responses. A body larger
+/// than `maxBodyBytes` is an error.
 asio::awaitable<FetchResult> fetch(base::Endpoint to, Request request,
-                                   base::milliseconds timeout);
+                                   base::milliseconds timeout,
+                                   std::size_t maxBodyBytes = MaxResponseBytes);
 
 /// Time limits of a call whose response may be large. How long a large response
 /// takes depends on the bandwidth, so that only a lack of progress is an error.
--- a/src/gateway/migrator.cc
+++ b/src/gateway/migrator.cc
@@ -1,6 +1,7 @@
 #include "migrator.h"
 
 #include "gateway-metrics.h"
+#include "server-call.h"
 #include "suspect-requests.h"
 
 #include "drumlanding/daemon/sleep.h"
@@ -165,7 +166,7 @@
                          isLast};
   http::Request request = Ctx.Codec.EncodeCopyRequest(copy);
   const base::Instant startedAt = Ctx.now();
-  http::FetchResult fetched = co_await http::fetch(
+  http::FetchResult fetched = co_await callServer(
       source.Listed.Address, std::move(request), CopyTimeout);
   CopyResponse response = Ctx.Codec.DecodeCopyResponse(fetched.Outcome);
   if (!fetched.IsConnected)
@@ -232,7 +233,7 @@
 asio::awaitable<void> Migrator::freeCopy(base::Endpoint at,
                                          std::string handle) {
   http::Request request = Ctx.Codec.EncodeReleaseCopy(handle);
-  co_await http::fetch(at, std::move(request), FreeCopyTimeout);
+  co_await callServer(at, std::move(request), FreeCopyTimeout);
 }
 
 /// Publishes that the run continues at `next`, so that the next run in the
--- a/src/gateway/suspect-requests.cc
+++ b/src/gateway/suspect-requests.cc
@@ -1,6 +1,7 @@
 #include "suspect-requests.h"
 
 #include "gateway-metrics.h"
+#include "server-call.h"
 
 #include "drumlanding/daemon/sleep.h"
 
@@ -220,7 +221,7 @@
                                    : ctx.Codec.EncodeHealthRequest();
   const base::Instant requestedAt = ctx.now();
   const http::FetchResult fetched =
-      co_await http::fetch(server.Address, std::move(request), VerifyTimeout);
+      co_await callServer(server.Address, std::move(request), VerifyTimeout);
   Verification verification{{}, fetched.IsRefused};
   std::optional<ServerInstance> instance;
   if (ok(fetched.Outcome))
--- a/src/http/client.cc
+++ b/src/http/client.cc
@@ -18,7 +18,6 @@
 using asio::ip::tcp;
 using boost::system::error_code;
 
-constexpr std::size_t MaxResponseBytes = 8 << 20;
 /// Maximum number of bytes that wait to be parsed. The parser has no limit of
 /// its own on the header of a chunk.
 constexpr std::size_t MaxUnparsedBytes = 128 << 10;
@@ -186,6 +185,7 @@
 asio::awaitable<FetchResult> performCall(base::Endpoint to, Request request,
                                          base::milliseconds responseTimeout,
                                          IdleTimeout idleTimeout,
+                                         std::size_t maxBodyBytes,
                                          ProgressHandler onProgress) {
   beast::tcp_stream stream(co_await asio::this_coro::executor);
   stream.expires_after(responseTimeout);
@@ -197,7 +197,7 @@
       co_await writeRequest(stream, std::move(message), idleTimeout);
   beast::flat_buffer buffer(MaxUnparsedBytes);
   StringParser parser;
-  parser.body_limit(MaxResponseBytes);
+  parser.body_limit(maxBodyBytes);
   if (idleTimeout)
     stream.expires_after(responseTimeout);
   if (!ec)
@@ -216,13 +216,14 @@
                                    TransferTimeouts timeouts,
                                    ProgressHandler onProgress) {
   return performCall(std::move(to), std::move(request), timeouts.Response,
-                     timeouts.Idle, std::move(onProgress));
+                     timeouts.Idle, MaxResponseBytes, std::move(onProgress));
 }
 
 asio::awaitable<FetchResult> fetch(base::Endpoint to, Request request,
-                                   base::milliseconds timeout) {
+                                   base::milliseconds timeout,
+                                   std::size_t maxBodyBytes) {
   return performCall(std::move(to), std::move(request), timeout, std::nullopt,
-                     {});
+                     maxBodyBytes, {});
 }
 
 asio::awaitable<StreamEnd> stream(base::Endpoint to, Request request,
--- a/test/endless-response-test.cc
+++ b/test/endless-response-test.cc
@@ -3,6 +3,7 @@
 #include "fixed-store.h"
 #include "free-endpoint.h"
 #include "platform/protocol-codec.h"
+#include "server-call.h"
 #include "shell.h"
 
 #include "drumlanding/daemon/sleep.h"
@@ -307,6 +308,33 @@
   }
 }
 
+/// Guards against many such calls at once: each migrating generation asks its
+/// engine for copies (issue 44, LOST).
+TEST_F(EndlessResponseTest, ManyCallsToServers) {
+  constexpr int Calls = 30;
+  startServer([](const std::string &attempt) {
+    return EndlessResponse{headOf(attempt, ""), Junk};
+  });
+  const auto callOnce = [this]() -> asio::awaitable<void> {
+    http::Request request{"GET", "/report", {}, {}};
+    const http::FetchResult fetched =
+        co_await callServer(Server->Address, std::move(request), CallerTimeout);
+    EXPECT_FALSE(ok(fetched.Outcome));
+    --OpenCalls;
+  };
+  const std::size_t before = residentBytes();
+  runTest([&]() -> asio::awaitable<void> {
+    asio::co_spawn(Io, sampleMemory(), asio::detached);
+    for (OpenCalls = 0; OpenCalls < Calls;) {
+      ++OpenCalls;
+      asio::co_spawn(Io, callOnce(), asio::detached);
+    }
+    while (OpenCalls > 0)
+      co_await sleepFor(PollInterval);
+  });
+  EXPECT_LT(MostBytes - std::min(before, MostBytes), MaxGrowth);
+}
+
 /// Guards against bytes without end in a stream of events (issue 26).
 TEST_F(EndlessResponseTest, AStreamOfEventsOfOurOwn) {
   for (const char *status : {"200 OK", "500 Internal Server Error"}) {
