platform: Ids of a prompt's parts are hexadecimal

When a server ends under such a request, its parts are told to the other gateways in a text field, which must be UTF-8: one byte 0xff in an id, and an encoded message does not parse (tried with the generated code). All messages of that gateway are then lost, those of its list, limits and runs too, for as long as it tells of the part.

--- a/test/platform-test.cc
+++ b/test/platform-test.cc
@@ -100,6 +100,20 @@
   EXPECT_EQ(decode({{"X-Prompt-Prefix", ",:3,a,b"}}), Ids{"a"});
 }
 
+/// Guards against ids of parts that are no hexadecimal numbers: gateways tell
+/// each other ids in messages that hold valid UTF-8 only, so that one other
+/// byte of a caller made all of a gateway's messages unreadable (issue 44).
+TEST(ProtocolCodec, PartsWithoutAHexadecimalIdAreIgnored) {
+  const gateway::ProtocolCodec codec = makeProtocolCodec();
+  http::Request request = sampleRequest();
+  request.Headers.push_back(
+      {"X-Prompt-Prefix",
+       "0f:1,x:1,\xff:1,a b:1," + std::string(65, 'a') + ":1,Ab9:1,0:1"});
+  const auto ids = codec.DecodeRequest(std::move(request)).SharedPromptParts;
+  const std::vector<std::string> expected{"0f", "ab9"};
+  EXPECT_EQ(ids, expected);
+}
+
 TEST(ProtocolCodec, StripsApiKeyAndForgedGatewayHeaders) {
   const gateway::ProtocolCodec codec = makeProtocolCodec();
   const gateway::CallerRequest r = codec.DecodeRequest(sampleRequest());
