http: A head's timeout has no effect once the head has been read

Cause: the handler of the head's timer captured a local variable of the coroutine. Cancelling a timer does not recall a handler that is queued: when the rest of the head and the timeout are ready at once, the head is read first, the coroutine returns, and the handler writes into its freed frame. It also cancels what the connection does next.

The handler holds a weak pointer that is released once the head has been read.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -462,11 +462,15 @@
   // The stream's own timeout would close it before the error response is sent.
   asio::steady_timer timer(connection.Stream.get_executor(),
                            limits.HeaderTimeout);
-  bool isTimeout = false;
-  timer.async_wait([&connection, &isTimeout](error_code aborted) {
-    if (aborted)
+  // Cancelling the timer does not recall a handler that is already queued: the
+  // handler has no effect once the head has been read.
+  auto isTimeout = std::make_shared<bool>(false);
+  const std::weak_ptr<bool> isReadingHead = isTimeout;
+  timer.async_wait([&connection, isReadingHead](error_code aborted) {
+    const auto expired = isReadingHead.lock();
+    if (aborted || !expired)
       return;
-    isTimeout = true;
+    *expired = true;
     connection.Stream.cancel();
   });
   connection.Stream.expires_never();
@@ -474,8 +478,10 @@
       connection.Stream, buffer, parser,
       asio::redirect_error(use_awaitable, ec));
   timer.cancel();
+  const bool hasTimedOut = *isTimeout;
+  isTimeout.reset();
   if (ec)
-    co_return isTimeout ? error_code(beast::error::timeout) : ec;
+    co_return hasTimedOut ? error_code(beast::error::timeout) : ec;
   if (isAmbiguous(parser.get()))
     co_return beast::http::make_error_code(
         beast::http::error::bad_transfer_encoding);
--- a/test/connection-limit-test.cc
+++ b/test/connection-limit-test.cc
@@ -10,10 +10,13 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <fcntl.h>
 #include <gtest/gtest.h>
 #include <sys/resource.h>
+#include <thread>
 #include <unistd.h>
 
 namespace drumlanding::http {
@@ -209,5 +212,36 @@
   });
 }
 
+/// Guards against a header timer whose handler is already queued when the head
+/// arrives, as after a freeze of the VM: it wrote into the memory of a
+/// coroutine that had returned, and cancelled the reading of the body
+/// (review/6, UNASKED).
+TEST_F(ConnectionLimitTest, AHeadThatArrivesWithItsTimeoutIsRead) {
+  ServerOptions options;
+  options.Limits.HeaderTimeout = milliseconds(500);
+  startServer(std::move(options));
+  const std::string head = "POST / HTTP/1.1\r\nHost: a.example\r\n"
+                           "Content-Length: 1\r\n\r\n";
+  constexpr std::size_t FirstPart = 20;
+  tcp::socket client(Io);
+  client.connect({asio::ip::make_address(Address.Address), Address.Port});
+  runTest([&]() -> asio::awaitable<void> {
+    asio::write(client, asio::buffer(head.data(), FirstPart));
+    // The server reads the first part.
+    co_await daemon::sleepFor(milliseconds(20));
+    asio::write(client, asio::buffer(head.substr(FirstPart)));
+    // Blocks the loop: the rest of the head and the timeout are ready at once.
+    std::this_thread::sleep_for(milliseconds(700));
+    co_await daemon::sleepFor(milliseconds(20));
+    boost::system::error_code ec;
+    asio::write(client, asio::buffer("b", 1), ec);
+    std::array<char, 256> buf{};
+    const std::size_t n = co_await client.async_read_some(
+        asio::buffer(buf), asio::redirect_error(asio::use_awaitable, ec));
+    const std::string_view answer(buf.data(), n);
+    EXPECT_TRUE(answer.starts_with("HTTP/1.1 200 ")) << answer << ec.message();
+  });
+}
+
 } // namespace
 } // namespace drumlanding::http
