http: Trailer fields of a request are no headers

Cause: the parser adds trailer fields to the message's headers, which were copied after the body had been read. They are now copied before. Reading the head and the body are two functions, called in turn.

--- a/src/http/server.cc
+++ b/src/http/server.cc
@@ -79,14 +79,14 @@
   };
 };
 
-Request toRequest(beast::http::request<RequestBody> message) {
+/// Converts a request without its body.
+Request toRequest(const beast::http::request_header<> &head) {
   Request request;
-  request.Method = std::string(message.method_string());
-  request.Target = std::string(message.target());
-  for (const auto &field : message.base())
+  request.Method = std::string(head.method_string());
+  request.Target = std::string(head.target());
+  for (const auto &field : head)
     request.Headers.push_back(
         {std::string(field.name_string()), std::string(field.value())});
-  request.Body = std::move(message.body());
   return request;
 }
 
@@ -288,11 +288,10 @@
   asio::awaitable<bool> waitForBytes(ConnectionPointer connection,
                                      beast::flat_buffer &buffer,
                                      base::milliseconds timeout);
-  asio::awaitable<error_code> readRequest(ServerConnection &connection,
-                                          beast::flat_buffer &buffer,
-                                          Parser &parser,
-                                          const CallerLimits &limits,
-                                          BodyBudget::Reservation *memory);
+  asio::awaitable<error_code> readHead(ServerConnection &connection,
+                                       beast::flat_buffer &buffer,
+                                       Parser &parser,
+                                       const CallerLimits &limits);
   asio::awaitable<error_code> readBody(ServerConnection &connection,
                                        beast::flat_buffer &buffer,
                                        Parser &parser,
@@ -453,9 +452,12 @@
   co_return !ec;
 }
 
-asio::awaitable<error_code> Server::State::readRequest(
-    ServerConnection &connection, beast::flat_buffer &buffer, Parser &parser,
-    const CallerLimits &limits, BodyBudget::Reservation *memory) {
+/// Reads the request line and the headers, and lets a caller that waits for it
+/// send the body.
+asio::awaitable<error_code>
+Server::State::readHead(ServerConnection &connection,
+                        beast::flat_buffer &buffer, Parser &parser,
+                        const CallerLimits &limits) {
   error_code ec;
   parser.header_limit(limits.MaxHeaderBytes);
   parser.body_limit(limits.MaxBodyBytes);
@@ -492,10 +494,8 @@
     co_await asio::async_write(connection.Stream,
                                asio::buffer(continueResponse),
                                asio::redirect_error(use_awaitable, ec));
-    if (ec)
-      co_return ec;
   }
-  co_return co_await readBody(connection, buffer, parser, limits, memory);
+  co_return ec;
 }
 
 /// Reads the body, and reserves its memory once it turns out to be large. One
@@ -555,8 +555,12 @@
   std::optional<BodyBudget::Reservation> memory;
   if (Options.Bodies)
     memory.emplace(Options.Bodies, connection->Stream.get_executor());
-  const error_code ec = co_await readRequest(
-      *connection, buffer, parser, limits, memory ? &*memory : nullptr);
+  error_code ec = co_await readHead(*connection, buffer, parser, limits);
+  // The parser adds trailer fields to the headers when it reads the body.
+  Request request = toRequest(parser.get());
+  if (!ec)
+    ec = co_await readBody(*connection, buffer, parser, limits,
+                           memory ? &*memory : nullptr);
   const bool keepAlive = !ec && parser.get().keep_alive();
   HttpExchange exchange(connection->Stream, keepAlive, ClosesAfterResponses,
                         limits.IdleTimeout);
@@ -566,7 +570,8 @@
     co_return false;
   }
   connection->Stream.expires_never();
-  co_await Handle(toRequest(parser.release()), exchange);
+  request.Body = std::move(parser.release().body());
+  co_await Handle(std::move(request), exchange);
   // The head may have been written before closeAfterResponses() was called.
   co_return exchange.shouldKeepAlive() && !ClosesAfterResponses;
 }
--- a/test/connection-limit-test.cc
+++ b/test/connection-limit-test.cc
@@ -5,6 +5,7 @@
 #include "drumlanding/http/connection.h"
 #include "drumlanding/http/http.h"
 
+#include <algorithm>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -37,8 +38,9 @@
   void startServer(ServerOptions options = {}) {
     auto server =
         Server::listen(Io, Address, std::move(options),
-                       [this](Request, Exchange &x) -> asio::awaitable<void> {
+                       [this](Request r, Exchange &x) -> asio::awaitable<void> {
                          ++Requests;
+                         LastRequest = std::move(r);
                          Response response;
                          response.Body = "well";
                          co_await x.send(std::move(response));
@@ -92,6 +94,7 @@
   std::vector<tcp::socket> Idle;
   rlimit Limit{};
   int Requests = 0;
+  Request LastRequest;
 };
 
 /// Guards against a server without free descriptors that accepts no connection
@@ -243,5 +246,31 @@
   });
 }
 
+/// Guards against fields after a chunked body that are taken for headers: a
+/// second attempt id reached the server (review, REPORT-2).
+TEST_F(ConnectionLimitTest, TrailerFieldsAreNoHeaders) {
+  startServer();
+  const std::string request = "POST / HTTP/1.1\r\nHost: a.example\r\n"
+                              "X-Attempt-Id: 1\r\n"
+                              "Transfer-Encoding: chunked\r\n\r\n"
+                              "1\r\na\r\n0\r\n"
+                              "X-Attempt-Id: 2\r\nX-Late: 3\r\n\r\n";
+  tcp::socket client(Io);
+  client.connect({asio::ip::make_address(Address.Address), Address.Port});
+  runTest([&]() -> asio::awaitable<void> {
+    asio::write(client, asio::buffer(request));
+    std::array<char, 256> buf{};
+    co_await client.async_read_some(asio::buffer(buf), asio::use_awaitable);
+  });
+  EXPECT_EQ(LastRequest.Body, "a");
+  EXPECT_EQ(LastRequest.header("X-Late"), "");
+  EXPECT_EQ(std::count_if(LastRequest.Headers.begin(),
+                          LastRequest.Headers.end(),
+                          [](const Header &h) {
+                            return equalIgnoringCase(h.Name, "X-Attempt-Id");
+                          }),
+            1);
+}
+
 } // namespace
 } // namespace drumlanding::http
