--- a/src/sidecar/sidecar.cc
+++ b/src/sidecar/sidecar.cc
@@ -42,7 +42,6 @@
 constexpr int ReportsPerHealthCheck = 5;
 /// Maximum number of gateways notified per interval, in rotation.
 constexpr std::size_t MaxContacts = 8;
-constexpr int Fine = 200;
 /// Maximum size of the body of an engine's response. A report has a few
 /// kilobytes.
 constexpr std::size_t MaxResponseBytes = 256 << 10;
--- a/support/mutants.sh
+++ b/support/mutants.sh
@@ -18,7 +18,7 @@
 UNITS=(gateway-test platform-test sidecar-test forwarding-test store-session-test
   request-limit-test quarantine-test query-of-death-test endless-response-test
   part-quarantine-test prompt-part-test connection-limit-test
-  truncated-response-test large-request-test)
+  truncated-response-test malformed-response-test large-request-test)
 PROGRAMS=(drumlanding-gateway drumlanding-sidecar fake-platform soak)
 SOAK_SEED=501
 
@@ -43,7 +43,7 @@
 unknown-key-accepted|src/gateway/forwarder.cc|s/return plainTextResponse\(401, "The key is missing or unknown\.\\n"\);/(void)0;/
 foreign-answer-passed|platform/protocol-codec.cc|s/answer\.MatchesAttempt = head\.header\(header::AttemptId\) == request\.AttemptId;/answer.MatchesAttempt = true;/
 stop-waits-for-nothing|src/gateway/shell.cc|s/while \(Ctx\.OpenRequests > 0 && Ctx\.now\(\) < Ctx\.stopDeadline\(\)\);/while (false);/
-duration-limits-transfer|src/http/client.cc|s/timeouts\.Idle, std::move/std::nullopt, std::move/
+duration-limits-transfer|src/http/client.cc|s/timeouts\.Idle, MaxResponseBytes/std::nullopt, MaxResponseBytes/
 config-transferred-twice|src/gateway/gossip.cc|s/peer && !Ctx\.StoreTransfer\.isActive\(now\)/peer/
 limit-ignored|src/gateway/request-limits.cc|s/if \(limit->Tokens >= 1\)/if (true)/
 limits-not-reported|src/gateway/gossip.cc|s/\*message\.add_limits\(\) = toWire\(report\);/(void)report;/g
@@ -64,7 +64,7 @@
 part-ends-not-reported|src/gateway/gossip.cc|s/\*message\.add_suspect_parts\(\) = toWire\(report\);/(void)report;/g
 parts-of-all-organisations|src/gateway/request-fingerprint.cc|s/  addPart\(state, organisation\);\n  addPart\(state, part\);/  (void)organisation;\n  addPart(state, part);/
 other-explanations-ignored|src/gateway/part-quarantine.cc|s/return explained\.contains\(keyOf\(end\)\);/return false \&\& explained.contains(keyOf(end));/
-failed-write-forgotten|src/http/connection.cc|s/\{ WriteError = ec; \}/{ (void)ec; }/
+failed-write-forgotten|src/http/connection.cc|s/WriteError = ec;/(void)ec;/
 undelimited-end-is-completion|src/http/connection.cc|s/!Parser->need_eof\(\) \|\| Parser->is_done\(\)/true/
 limits-of-an-idle-connection|src/http/server.cc|s/const CallerLimits limits = currentLimits\(\);\n//; s/const base::milliseconds idleTimeout = currentLimits\(\)\.IdleTimeout;/const CallerLimits limits = currentLimits();\n  const base::milliseconds idleTimeout = limits.IdleTimeout;/
 idle-close-loses-request|src/http/server.cc|s/connection->Stream\.cancel\(\);/connection->Stream.close();/
@@ -72,6 +72,15 @@
 body-waits-without-end|src/http/body-budget.cc|s/ && Clock::now\(\) < expiry//
 overload-accepted|src/gateway/load-shedder.cc|s/if \(IsOverloaded && /if (false \&\& /
 body-without-limit|src/gateway/forwarded-request.cc|s/if \(!memory\.grow\(value\(piece\)\.size\(\)\)\)/if (!memory.grow(0))/
+caller-position-replaced|src/gateway/stream-forwarder.cc|s/from\.LastEventId = Run->Events\.lastId\(\);/from.LastEventId = Run->Events.lastId().value_or(0);/
+reset-taken-by-a-send|src/http/connection.cc|s/while \(IsSending && isFullyClosed/while (false \&\& isFullyClosed/
+abort-wakes-nobody|src/gateway/forwarded-request.cc|s/  closeConnection\(\);\n  notify\(\);/  closeConnection();/
+any-status-taken|src/http/message-head.cc|s/if \(!isValidStatus\(head\.result_int\(\)\)\)/if (false)/
+folded-lines-joined|src/http/message-head.cc|s/if \(hasFoldedLine\(/if (false \&\& hasFoldedLine(/
+late-request-of-a-stop-taken|src/gateway/forwarder.cc|s/return end > Ctx\.stopDeadline\(\);/return false \&\& end > Ctx.stopDeadline();/
+exit-answers-nobody|src/gateway/shell.cc|s/    RequestForwarder\.abortAll\(AbortReason::Stopping\);\n//
+kept-after-a-stop|src/http/server.cc|s/KeepAlive = KeepAlive && !ClosesAfterResponses;//
+late-timeout-acts|src/http/server.cc|s/  isTimeout\.reset\(\);\n//
 LIST
 )
 
