--- a/support/mutants.sh
+++ b/support/mutants.sh
@@ -80,7 +80,7 @@
 late-request-of-a-stop-taken|src/gateway/forwarder.cc|s/return end > Ctx\.stopDeadline\(\);/return false \&\& end > Ctx.stopDeadline();/
 exit-answers-nobody|src/gateway/shell.cc|s/    RequestForwarder\.abortAll\(AbortReason::Stopping\);\n//
 kept-after-a-stop|src/http/server.cc|s/KeepAlive = KeepAlive && !ClosesAfterResponses;//
-late-timeout-acts|src/http/server.cc|s/  isTimeout\.reset\(\);\n//
+late-timeout-acts|src/http/server.cc|s/if \(aborted \|\| !expired\)\n      return;\n    \*expired = true;/if (aborted)\n      return;/
 LIST
 )
 
