http: Heads are read in small pieces, as before

Bodies are then read with that capacity: 30 at once grow side by side, and the memory that their strings take beyond their size adds up.

--- a/src/http/message-head.cc
+++ b/src/http/message-head.cc
@@ -13,8 +13,10 @@
 
 /// Maximum size of the status line and the headers of a response.
 constexpr std::uint32_t MaxHeadBytes = 32 << 10;
-
-constexpr std::size_t HeadReadBytes = 4 << 10;
+/// Bodies are read with the capacity that the buffer has after the head. With a
+/// larger one, many large bodies at once take more memory than their limits
+/// allow for.
+constexpr std::size_t HeadReadBytes = 512;
 constexpr std::string_view LineEnd = "\r\n";
 constexpr std::string_view HeadEnd = "\r\n\r\n";
 
