--- a/test/connection-limit-test.cc
+++ b/test/connection-limit-test.cc
@@ -218,7 +218,7 @@
 /// Guards against a header timer whose handler is already queued when the head
 /// arrives, as after a freeze of the VM: it wrote into the memory of a
 /// coroutine that had returned, and cancelled the reading of the body
-/// (review/6, UNASKED).
+/// (issue 41, UNASKED).
 TEST_F(ConnectionLimitTest, AHeadThatArrivesWithItsTimeoutIsRead) {
   ServerOptions options;
   options.Limits.HeaderTimeout = milliseconds(500);
